--- /dev/null
+++ b/include/shallotrelay/guard/guard.h
@@ -0,0 +1,184 @@
+/// The guard of one target: decides which requests may go to the target at once.
+///
+/// All work for a target passes its guard, so the count of requests in flight is exact whatever other nodes believe.
+/// The limit is the least of the bundle's bound, the bound that the target announced, the cold-start ramp and the bound
+/// that the guard learns when the target slows down suddenly.
+///
+/// The guard is not thread-safe and does no I/O. Call offer() for each request; start it if it is admitted; call
+/// finished() when the target is done with it, also if its caller is gone, and start the requests that it returns.
+///
+///     Guard guard;
+///     guard.setPolicy(policy, now);
+///     guard.announced({"boot-1", TargetState::Ready, 12, 240}, now);
+///     GuardAnswer answer = guard.offer({ticket, deadline, true}, now);
+#pragma once
+
+#include "shallotrelay/base/clock.h"
+#include "shallotrelay/messages.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shallotrelay
+{
+
+/// Identifies a request at one guard.
+using GuardTicket = std::uint64_t;
+
+/// What the bundle says about a target.
+struct GuardPolicy {
+    bool served = false; ///< Whether the bundle lets the target serve, with its data centre in service.
+    std::uint32_t slots = 0; ///< Requests at once.
+    std::uint32_t connections = 0; ///< Connections at once.
+    std::uint32_t coldSlots = 1; ///< Requests at once in cold start.
+    Duration coldRamp{}; ///< Time from cold to full bound once the target is ready.
+    std::uint32_t queueLength = 0; ///< Requests that may wait.
+    Duration queueWait{}; ///< Longest time that a request waits.
+    std::uint64_t revision = 0; ///< Revision of the bundle.
+
+    bool operator==(const GuardPolicy &other) const = default;
+};
+
+/// What a target said about itself.
+struct TargetAnnouncement {
+    std::string bootId; ///< Changes each time that the target starts.
+    TargetState state = TargetState::Cold; ///< Its state.
+    std::uint32_t slots = 0; ///< Requests at once that it says it bears.
+    std::uint32_t connections = 0; ///< Connections at once that it says it bears.
+};
+
+/// A request that asks for admission.
+struct GuardOffer {
+    GuardTicket ticket = 0; ///< Chosen by the user, different for each request.
+    TimePoint deadline; ///< After this its caller takes no answer.
+    bool mayQueue = false; ///< Whether it may wait.
+};
+
+/// Why a request was not admitted.
+enum class GuardRefusal {
+    None, ///< It was not refused.
+    AtLimit, ///< The target has as much as it bears.
+    QueueFull, ///< As many requests wait as may.
+    Leaving, ///< The target is leaving.
+    NotServed, ///< The bundle does not let the target serve.
+    Absent, ///< No target announced itself.
+    Expired, ///< The deadline passed before the request could start.
+};
+
+/// Returns the name of a refusal for logs and answers.
+const char *toString(GuardRefusal refusal);
+
+/// The answer to an offer.
+struct GuardAnswer {
+    enum class Kind {
+        Admitted, ///< Start it now.
+        Queued, ///< It waits; finished(), tick() or a policy change returns it later.
+        Refused, ///< It does not run.
+    };
+
+    Kind kind = Kind::Refused; ///< What became of the offer.
+    GuardRefusal refusal = GuardRefusal::None; ///< Why it was refused.
+    Duration retryAfter{}; ///< When a new try is worthwhile.
+};
+
+/// Requests whose waiting ended.
+struct GuardRelease {
+    std::vector<GuardTicket> admitted; ///< Start these now.
+    std::vector<GuardTicket> expired; ///< Refuse these: they waited too long.
+};
+
+/// How a request ended at the target.
+struct GuardOutcome {
+    bool failed = false; ///< Whether the target answered with a server error or not at all.
+    bool answered = false; ///< Whether the head of an answer came.
+    Duration headLatency{}; ///< Time from the start until the head of the answer, if it came.
+};
+
+/// Decides which requests may go to one target.
+class Guard
+{
+public:
+    /// Applies what the bundle says; older revisions are ignored.
+    GuardRelease setPolicy(const GuardPolicy &policy, TimePoint now);
+
+    /// Takes in an announcement of the target.
+    GuardRelease announced(const TargetAnnouncement &announcement, TimePoint now);
+
+    /// Notes that the announcement ended without renewal.
+    GuardRelease announcementEnded(TimePoint now);
+
+    /// Notes a sign that the target restarted without warning, such as a refused connection.
+    void suspectRestart(TimePoint now);
+
+    /// Asks for admission of a request.
+    GuardAnswer offer(const GuardOffer &offer, TimePoint now);
+
+    /// Withdraws a request that waits; returns whether it waited.
+    bool withdraw(GuardTicket ticket);
+
+    /// Notes the head of an answer; the slot stays taken.
+    void headArrived(GuardTicket ticket, TimePoint now);
+
+    /// Frees the slot of a request that the target is done with.
+    GuardRelease finished(GuardTicket ticket, const GuardOutcome &outcome, TimePoint now);
+
+    /// Drops requests that waited too long, and notices a target that slowed down; call it every few milliseconds while
+    /// requests are in flight.
+    GuardRelease tick(TimePoint now);
+
+    /// Returns how many requests may be in flight at present.
+    std::uint32_t limit(TimePoint now) const;
+
+    /// Returns how many connections to the target may be open at present.
+    std::uint32_t connectionLimit() const;
+
+    /// Returns the load as it is reported to other nodes.
+    LoadReport load(TimePoint now) const;
+
+    /// Returns how many requests are in flight.
+    std::uint32_t inFlight() const;
+
+    /// Returns how many requests wait.
+    std::uint32_t queued() const;
+
+private:
+    struct Waiting {
+        GuardTicket ticket = 0;
+        TimePoint giveUp;
+    };
+    struct Running {
+        TimePoint start;
+        bool headSeen = false;
+    };
+
+    GuardRefusal standingRefusal() const;
+    std::uint32_t fullLimit() const;
+    std::uint32_t rampLimit(TimePoint now) const;
+    Duration retryAfter() const;
+    GuardRelease releaseWaiting(TimePoint now);
+    GuardRelease refuseAllWaiting();
+    void learnLatency(const GuardOutcome &outcome, TimePoint now);
+    void checkForSlowness(TimePoint now);
+    void enterCold(TimePoint now);
+
+    GuardPolicy m_policy;
+    TargetAnnouncement m_announcement;
+    bool m_present = false;
+    bool m_suspected = false;
+    TimePoint m_readySince;
+    std::map<GuardTicket, Running> m_running;
+    std::deque<Waiting> m_waiting;
+    double m_baselineLatency = 0; // seconds, slow average while the target is healthy
+    double m_recentLatency = 0; // seconds, fast average
+    double m_failureShare = 0;
+    std::uint64_t m_samples = 0;
+    bool m_slow = false;
+    TimePoint m_slowSince;
+    std::uint32_t m_slowLimit = 0;
+    std::uint32_t m_fastAnswers = 0;
+};
+
+}
--- /dev/null
+++ b/include/shallotrelay/routing/router.h
@@ -0,0 +1,135 @@
+/// The router of one service: chooses a target for each request from load reports that are always stale.
+///
+/// A target is drawn at random with a weight that grows with its estimated free slots and falls with its recent
+/// failures and latency relative to the other targets of the service. Drawing by weight keeps many nodes from choosing
+/// the same idle target; relative health keeps the share of targets that are avoided bounded, since a fault that all
+/// targets share changes no weight.
+///
+/// The router is not thread-safe and does no I/O. Tell it about each try and each report:
+///
+///     ServiceRouter router(options);
+///     router.setTargets(targets, now);
+///     std::optional<RouterChoice> choice = router.choose({}, now, random);
+///     router.started(choice->target, now);
+///     router.reported(choice->target, load, now);
+///     router.finished(choice->target, outcome, now);
+#pragma once
+
+#include "shallotrelay/base/clock.h"
+#include "shallotrelay/base/random.h"
+#include "shallotrelay/messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallotrelay
+{
+
+/// How targets are chosen.
+enum class RoutingStrategy {
+    WeightedFree, ///< Draw by estimated free slots, health and latency.
+    PowerOfTwo, ///< Draw two at random and take the one with the lower estimated load.
+    UniformRandom, ///< Draw at random; the naive baseline.
+};
+
+/// How a router behaves.
+struct RouterOptions {
+    std::string dataCentre; ///< Data centre of the node.
+    RoutingStrategy strategy = RoutingStrategy::WeightedFree; ///< How targets are chosen.
+    double remoteWeight = 0.7; ///< Factor on the weight of targets in other data centres.
+    bool useFailures = true; ///< Whether recent failures lower a weight.
+    bool useLatency = true; ///< Whether recent latency lowers a weight.
+};
+
+/// A target as the router may choose it.
+struct RouterTarget {
+    std::string name; ///< Name, unique in the service.
+    std::string dataCentre; ///< Data centre of its VM.
+    std::uint32_t limit = 0; ///< Requests at once until a report says otherwise.
+    TargetState state = TargetState::Ready; ///< The announced state.
+    bool inService = true; ///< Whether the bundle lets it serve.
+    std::string bootId; ///< A change forgets what was learnt about it.
+
+    bool operator==(const RouterTarget &other) const = default;
+};
+
+/// The target that was chosen.
+struct RouterChoice {
+    std::string target; ///< Its name.
+    std::uint32_t candidates = 0; ///< Targets that were looked at.
+    double estimatedInFlight = 0; ///< Estimate of its requests in flight.
+    std::uint32_t limit = 0; ///< Its last known limit.
+    bool remote = false; ///< Whether it is in another data centre.
+};
+
+/// How a try ended, as the router needs to know it.
+struct RouterOutcome {
+    bool ran = false; ///< Whether the target ran the request; a refusal tells nothing about its health.
+    bool failed = false; ///< Whether the target failed or could not be reached.
+    Duration headLatency{}; ///< Time from the start of the try until the head of the answer.
+};
+
+/// Chooses targets of one service.
+class ServiceRouter
+{
+public:
+    explicit ServiceRouter(RouterOptions options);
+
+    /// Replaces the list of targets; what is known about targets that stay is kept.
+    void setTargets(const std::vector<RouterTarget> &targets, TimePoint now);
+
+    /// Chooses a target that is not excluded, or none if no target may take work.
+    std::optional<RouterChoice> choose(const std::set<std::string> &excluded, TimePoint now, Random &random) const;
+
+    /// Notes that a try starts.
+    void started(const std::string &target, TimePoint now);
+
+    /// Takes in a load report of the target's guard.
+    void reported(const std::string &target, const LoadReport &load, TimePoint now);
+
+    /// Notes how a try ended.
+    void finished(const std::string &target, const RouterOutcome &outcome, TimePoint now);
+
+    /// Returns how many targets may take work.
+    std::size_t usableTargets() const;
+
+private:
+    struct Entry {
+        RouterTarget target;
+        std::optional<LoadReport> report;
+        TimePoint reportedAt;
+        std::uint32_t outstanding = 0;
+        std::uint32_t startedSinceReport = 0;
+        double failureShare = 0;
+        TimePoint failureNoted;
+        double latency = 0; // seconds
+    };
+    struct Averages {
+        double utilisation = 0;
+        double failureShare = 0;
+        double latency = 0; // seconds, median
+    };
+    struct Candidate {
+        const Entry *entry = nullptr;
+        double weight = 0;
+        double estimate = 0;
+    };
+
+    bool mayTakeWork(const Entry &entry) const;
+    std::uint32_t limitOf(const Entry &entry) const;
+    Averages averages(TimePoint now) const;
+    double estimateInFlight(const Entry &entry, const Averages &averages, TimePoint now) const;
+    double failureShareOf(const Entry &entry, TimePoint now) const;
+    double weightOf(const Entry &entry, double estimate, const Averages &averages, TimePoint now) const;
+    const Candidate &draw(const std::vector<Candidate> &candidates, Random &random) const;
+    RouterChoice toChoice(const Candidate &candidate, std::size_t candidates) const;
+
+    RouterOptions m_options;
+    std::map<std::string, Entry> m_entries;
+};
+
+}
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs the packages and builds everything under build/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scripts/install-packages.sh
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+ninja -C build
--- /dev/null
+++ b/src/base/clock.cpp
@@ -0,0 +1,27 @@
+#include "shallotrelay/base/clock.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace shallotrelay
+{
+
+TimePoint SystemClock::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+double toMilliseconds(Duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+std::uint32_t toWholeMilliseconds(Duration span)
+{
+    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(span).count();
+    const std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, most));
+}
+
+}
--- /dev/null
+++ b/src/cli/democommand.cpp
@@ -0,0 +1,11 @@
+#include "cli/commandsupport.h"
+
+namespace shallotrelay
+{
+
+int runDemoCommand(const Arguments &)
+{
+    return ExitOk;
+}
+
+}
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,53 @@
+#include "cli/commands.h"
+#include "cli/version.h"
+
+#include <sodium.h>
+
+#include <iostream>
+#include <map>
+
+namespace
+{
+
+constexpr const char *Usage = "usage: shallotrelay COMMAND [FLAGS]\n"
+                              "\n"
+                              "  node      run beside a target VM: door for callers, router, guard\n"
+                              "  control   hold the accepted bundles and the directory of targets\n"
+                              "  bundle    operators' command: keygen, check, sign, submit, status, history\n"
+                              "  demo      run both deployments on loopback in one process\n"
+                              "  target    run a stand-in target\n"
+                              "  load      send an open-loop load\n"
+                              "\n"
+                              "shallotrelay COMMAND --help lists the flags of a command.\n";
+
+}
+
+int main(int argc, char **argv)
+{
+    using namespace shallotrelay;
+    using Command = int (*)(const Arguments &);
+    const std::map<std::string, Command> commands
+        = {{"node", runNodeCommand},     {"control", runControlCommand}, {"bundle", runBundleCommand},
+           {"target", runTargetCommand}, {"load", runLoadCommand},       {"demo", runDemoCommand}};
+    Arguments args(argv + 1, argv + argc);
+    const std::string first = args.empty() ? "" : args.front();
+    if (first == "--version") {
+        std::cout << "shallotrelay " << Version << '\n';
+        return ExitOk;
+    }
+    if (first == "--help") {
+        std::cout << Usage;
+        return ExitOk;
+    }
+    const auto it = commands.find(first);
+    if (it == commands.end()) {
+        std::cerr << "shallotrelay: unknown command \"" << first << "\"\n" << Usage;
+        return ExitUsage;
+    }
+    if (sodium_init() < 0) {
+        std::cerr << "shallotrelay: libsodium cannot be initialised\n";
+        return ExitFailed;
+    }
+    args.erase(args.begin());
+    return it->second(args);
+}
--- /dev/null
+++ b/src/cli/settingsreader.cpp
@@ -0,0 +1,162 @@
+#include "cli/settingsreader.h"
+
+#include "cli/version.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_replace.h>
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <memory>
+
+namespace shallotrelay
+{
+namespace
+{
+
+using TextFlag = TCLAP::ValueArg<std::string>;
+
+std::string helpOf(const SettingSpec &spec)
+{
+    const std::string fallback = spec.defaultText.empty() ? "none" : spec.defaultText;
+    return fmt::format("{} [variable {}, default {}]", spec.doc, variableName(spec.name), fallback);
+}
+
+absl::Status missing(const std::string &name)
+{
+    return absl::InvalidArgumentError(fmt::format("--{} \"\": must be set", name));
+}
+
+absl::Status clash(const std::string &a, const std::string &b, const std::string &value, const std::string &reason)
+{
+    return absl::InvalidArgumentError(fmt::format("--{} \"{}\" and --{}: {}", a, value, b, reason));
+}
+
+bool sameListener(const Address &a, const Address &b)
+{
+    return a.port != 0 && a == b;
+}
+
+}
+
+std::string variableName(const std::string &setting)
+{
+    return "SHALLOTRELAY_" + absl::StrReplaceAll(absl::AsciiStrToUpper(setting), {{"-", "_"}});
+}
+
+absl::StatusOr<CommandLine> readCommandLine(const std::string &command, const std::string &doc,
+                                            const std::vector<SettingSpec> &specs, const std::vector<std::string> &args,
+                                            const std::function<const char *(const std::string &)> &environment)
+{
+    CommandLine out;
+    std::vector<std::unique_ptr<TextFlag>> flags;
+    TCLAP::CmdLine line(doc, ' ', Version);
+    line.setExceptionHandling(false);
+    for (const SettingSpec &spec : specs) {
+        flags.push_back(std::make_unique<TextFlag>("", spec.name, helpOf(spec), false, "", "value"));
+    }
+    TCLAP::SwitchArg check("", "check", "Check the settings and exit");
+    TCLAP::UnlabeledMultiArg<std::string> operands("operands", "Operands of the command", false, "text");
+    // Flags are listed by --help in the reverse order of adding.
+    line.add(operands);
+    line.add(check);
+    for (auto it = flags.rbegin(); it != flags.rend(); ++it) {
+        line.add(**it);
+    }
+    std::vector<std::string> all = {"shallotrelay " + command};
+    all.insert(all.end(), args.begin(), args.end());
+    try {
+        line.parse(all);
+    } catch (const TCLAP::ExitException &) {
+        out.done = true;
+        return out;
+    } catch (const TCLAP::ArgException &error) {
+        return absl::InvalidArgumentError(fmt::format("{} {}", error.argId(), error.error()));
+    }
+    for (const auto &it : flags) {
+        const char *variable = environment(variableName(it->getName()));
+        if (it->isSet()) {
+            out.raw[it->getName()] = it->getValue();
+        } else if (variable != nullptr) {
+            out.raw[it->getName()] = variable;
+        }
+    }
+    out.checkOnly = check.getValue();
+    out.operands = operands.getValue();
+    for (const std::string &it : out.operands) {
+        if (it.rfind('-', 0) == 0) {
+            return absl::InvalidArgumentError(fmt::format("\"{}\": is not a flag of {}", it, command));
+        }
+    }
+    return out;
+}
+
+absl::Status validate(const NodeSettings &settings)
+{
+    if (settings.name.empty()) {
+        return missing("name");
+    }
+    if (settings.dataCentre.empty()) {
+        return missing("data-centre");
+    }
+    if (sameListener(settings.listen, settings.peerListen)) {
+        return clash("listen", "peer-listen", settings.listen.text(), "must not be the same address");
+    }
+    if (sameListener(settings.listen, settings.adminListen)) {
+        return clash("listen", "admin-listen", settings.listen.text(), "must not be the same address");
+    }
+    if (sameListener(settings.peerListen, settings.adminListen)) {
+        return clash("peer-listen", "admin-listen", settings.peerListen.text(), "must not be the same address");
+    }
+    if (settings.defaultDeadline > settings.maxDeadline) {
+        return clash("default-deadline", "max-deadline", fmt::format("{}ms", toMilliseconds(settings.defaultDeadline)),
+                     "the default must not be above the maximum");
+    }
+    const std::vector<std::pair<const char *, Duration>> spans
+        = {{"heartbeat", settings.heartbeat},        {"announce-lease", settings.announceLease},
+           {"head-timeout", settings.headTimeout},   {"idle-timeout", settings.idleTimeout},
+           {"stall-timeout", settings.stallTimeout}, {"default-deadline", settings.defaultDeadline}};
+    for (const auto &it : spans) {
+        if (it.second <= Duration::zero()) {
+            return absl::InvalidArgumentError(fmt::format("--{} \"0\": must be above 0", it.first));
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status validate(const ControlSettings &settings)
+{
+    if (settings.dataFolder.empty()) {
+        return missing("data-folder");
+    }
+    if (settings.trustFile.empty()) {
+        return missing("trust-file");
+    }
+    if (sameListener(settings.listen, settings.operatorListen)) {
+        return clash("listen", "operator-listen", settings.listen.text(), "must not be the same address");
+    }
+    if (settings.lease <= settings.heartbeat) {
+        return clash("lease", "heartbeat", fmt::format("{}ms", toMilliseconds(settings.lease)),
+                     "the lease must be longer than the heartbeat");
+    }
+    if (settings.heartbeat <= Duration::zero()) {
+        return absl::InvalidArgumentError("--heartbeat \"0\": must be above 0");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status validate(const TargetSettings &settings)
+{
+    for (const auto &it : {std::pair("name", settings.name), std::pair("firm", settings.firm),
+                           std::pair("service", settings.service), std::pair("data-centre", settings.dataCentre)}) {
+        if (it.second.empty()) {
+            return missing(it.first);
+        }
+    }
+    if (settings.connections < settings.slots) {
+        return clash("slots", "connections", std::to_string(settings.slots), "slots must not be above connections");
+    }
+    return absl::OkStatus();
+}
+
+}
--- /dev/null
+++ b/src/daemon/controllink.cpp
@@ -0,0 +1,177 @@
+#include "daemon/controllink.h"
+
+#include "net/framestream.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+constexpr Duration ReconnectDelay = std::chrono::milliseconds(200);
+constexpr int SilentHeartbeats = 3;
+
+}
+
+struct ControlLink::Impl : std::enable_shared_from_this<ControlLink::Impl> {
+    Impl(asio::io_context &l, Options o, ServiceTable &s, LocalTargets &t, EventLog &e)
+        : loop(l)
+        , options(std::move(o))
+        , services(s)
+        , local(t)
+        , log(e)
+        , wake(l)
+        , source(options.address.text())
+    {
+    }
+
+    asio::io_context &loop;
+    Options options;
+    ServiceTable &services;
+    LocalTargets &local;
+    EventLog &log;
+    asio::steady_timer wake;
+    std::string source;
+    bool roused = false;
+    std::atomic<bool> connected = false;
+    std::atomic<bool> stopped = false;
+
+    static asio::awaitable<void> run(std::shared_ptr<Impl> self)
+    {
+        while (!self->stopped) {
+            auto socket = co_await connectTo(self->loop.get_executor(), self->options.address, ConnectTimeout);
+            if (socket.ok()) {
+                co_await self->talk(*std::move(socket));
+            }
+            self->connected = false;
+            co_await sleepFor(ReconnectDelay);
+        }
+    }
+
+    asio::awaitable<void> talk(tcp::socket socket)
+    {
+        using namespace asio::experimental::awaitable_operators;
+        FrameStream stream(std::move(socket), MaxFramePayloadBytes);
+        const auto first = co_await (receive(stream) || send(stream));
+        const absl::Status status = first.index() == 0 ? std::get<0>(first) : std::get<1>(first);
+        log.write(LogLevel::Warn, "control-link", {{"control", source}, {"lost", std::string(status.message())}});
+    }
+
+    asio::awaitable<absl::Status> receive(FrameStream &stream)
+    {
+        for (;;) {
+            const auto frame = co_await stream.read(options.heartbeat * SilentHeartbeats);
+            if (!frame.ok()) {
+                co_return frame.status();
+            }
+            const absl::Status status = take(*frame);
+            if (!status.ok()) {
+                co_return status;
+            }
+            connected = true;
+        }
+    }
+
+    absl::Status take(const Frame &frame)
+    {
+        if (frame.type == Heartbeat::FrameType) {
+            return decodeAs<Heartbeat>(frame).status();
+        }
+        if (frame.type == DirectoryUpdate::FrameType) {
+            const auto update = decodeAs<DirectoryUpdate>(frame);
+            if (update.ok()) {
+                services.applyDirectory(source, *update);
+            }
+            return update.status();
+        }
+        const auto accepted = decodeAs<AcceptedBundle>(frame);
+        if (!accepted.ok()) {
+            return accepted.status();
+        }
+        return takeBundle(*accepted);
+    }
+
+    absl::Status takeBundle(const AcceptedBundle &accepted)
+    {
+        const auto applied = services.applyBundle(accepted);
+        if (!applied.ok()) {
+            return applied.status();
+        }
+        if (*applied) {
+            log.write(LogLevel::Info, "bundle-applied", {{"control", source}, {"revision", accepted.revision}});
+            options.onBundle();
+            rouse();
+        }
+        return absl::OkStatus();
+    }
+
+    /// Sends a report at once and then at each heartbeat, or sooner when something changed.
+    asio::awaitable<absl::Status> send(FrameStream &stream)
+    {
+        for (;;) {
+            roused = false;
+            stream.queue(report());
+            const absl::Status status = co_await stream.flush();
+            if (!status.ok()) {
+                co_return status;
+            }
+            if (!roused) {
+                wake.expires_after(options.heartbeat);
+                co_await wake.async_wait(AsTuple);
+            }
+        }
+    }
+
+    NodeReport report() const
+    {
+        NodeReport out;
+        out.node = options.node;
+        out.dataCentre = options.dataCentre;
+        out.incarnation = options.incarnation;
+        out.directorySequence = services.directorySequence(source);
+        out.applied = services.applied();
+        out.targets = local.records();
+        return out;
+    }
+
+    void rouse()
+    {
+        roused = true;
+        wake.cancel();
+    }
+};
+
+ControlLink::ControlLink(Runtime &runtime, Options options, ServiceTable &services, LocalTargets &local, EventLog &log)
+    : m_impl(std::make_shared<Impl>(runtime.next(), std::move(options), services, local, log))
+{
+}
+
+ControlLink::~ControlLink()
+{
+    m_impl->stopped = true;
+}
+
+void ControlLink::start()
+{
+    asio::co_spawn(m_impl->loop, Impl::run(m_impl), asio::detached);
+}
+
+void ControlLink::reportSoon()
+{
+    asio::post(m_impl->loop, [impl = m_impl] { impl->rouse(); });
+}
+
+bool ControlLink::connected() const
+{
+    return m_impl->connected;
+}
+
+}
--- /dev/null
+++ b/src/daemon/controllink.h
@@ -0,0 +1,46 @@
+/// The link of a node to one control VM: sends reports, takes bundles and directory updates, and reconnects.
+#pragma once
+
+#include "daemon/eventlog.h"
+#include "daemon/localtargets.h"
+#include "daemon/servicetable.h"
+#include "net/runtime.h"
+
+#include <functional>
+#include <memory>
+
+namespace shallotrelay
+{
+
+/// Keeps one node in touch with one control VM.
+class ControlLink
+{
+public:
+    struct Options {
+        Address address; ///< The control VM.
+        Duration heartbeat{}; ///< Time between reports.
+        std::string node; ///< Name of the node.
+        std::string dataCentre; ///< Data centre of the node.
+        std::uint64_t incarnation = 0; ///< Rises each time that the node starts.
+        std::function<void()> onBundle; ///< Called after a bundle was applied.
+    };
+
+    ControlLink(Runtime &runtime, Options options, ServiceTable &services, LocalTargets &local, EventLog &log);
+    ~ControlLink();
+
+    /// Starts to connect.
+    void start();
+
+    /// Sends a report soon instead of at the next heartbeat.
+    void reportSoon();
+
+    /// Returns whether the control VM answers.
+    bool connected() const;
+
+private:
+    struct Impl;
+
+    std::shared_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/src/daemon/dispatcher.h
@@ -0,0 +1,54 @@
+/// Brings a caller's request to a target: chooses, tries, retries where that is allowed, and gives up at once
+/// otherwise.
+#pragma once
+
+#include "daemon/eventlog.h"
+#include "daemon/localtargets.h"
+#include "daemon/metrics.h"
+#include "daemon/servicetable.h"
+#include "net/door.h"
+#include "net/peerprotocol.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace shallotrelay
+{
+
+/// Dispatches the requests of one node. Safe for use by several threads.
+class Dispatcher
+{
+public:
+    struct Options {
+        const Clock *clock = nullptr; ///< Tells the time.
+        Duration stallTimeout{}; ///< Time without progress of a body.
+        std::string node; ///< Name of the node, for log lines.
+    };
+
+    Dispatcher(Options options, ServiceTable &services, LocalTargets &local, EventLog &log, Metrics &metrics);
+    ~Dispatcher();
+
+    /// Runs one request; the door calls it.
+    asio::awaitable<ExchangeResult> dispatch(CallerRequest &request, BodySource &source, CallerSink &sink,
+                                             ExchangeProgress &progress);
+
+private:
+    class Call;
+
+    std::shared_ptr<Backend> backendOf(const ServiceShard &shard, const TargetRecord &record);
+
+    Options m_options;
+    ServiceTable &m_services;
+    LocalTargets &m_local;
+    EventLog &m_log;
+    prometheus::Counter &m_requests;
+    prometheus::Counter &m_retries;
+    prometheus::Counter &m_givenUp;
+    prometheus::Histogram &m_headLatency;
+    std::mutex m_linksMutex;
+    std::map<std::string, std::shared_ptr<PeerLink>> m_links;
+};
+
+}
--- /dev/null
+++ b/src/daemon/eventlog.h
@@ -0,0 +1,59 @@
+/// Log lines as JSON objects, one for each event.
+///
+/// Lines are written by a thread of their own. When more come than can be written the oldest are dropped and counted,
+/// so that logging never holds a request up.
+#pragma once
+
+#include <absl/status/status.h>
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace spdlog
+{
+class logger;
+}
+
+namespace shallotrelay
+{
+
+/// Severity of a line.
+enum class LogLevel {
+    Debug, ///< For developers.
+    Info, ///< Decisions and changes.
+    Warn, ///< Something failed and was handled.
+    Error, ///< Something failed and needs an operator.
+};
+
+/// Writes JSON lines. Safe for use by several threads.
+class EventLog
+{
+public:
+    /// Writes to the file, or to standard error if the path is empty.
+    static absl::StatusOr<std::unique_ptr<EventLog>> open(const std::string &path, const std::string &level);
+
+    ~EventLog();
+
+    /// Writes one line; time, level and event come first, then the fields.
+    void write(LogLevel level, const std::string &event, const nlohmann::ordered_json &fields);
+
+    /// Returns whether lines of a level are written.
+    bool enabled(LogLevel level) const;
+
+    /// Returns how many lines were dropped.
+    std::uint64_t dropped() const;
+
+    /// Waits until all lines are written.
+    void flush();
+
+private:
+    struct Impl;
+
+    explicit EventLog(std::unique_ptr<Impl> impl);
+
+    std::unique_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/src/daemon/localtargets.cpp
@@ -0,0 +1,241 @@
+#include "daemon/localtargets.h"
+
+#include "bundle/jsonreader.h"
+
+#include <nlohmann/json.hpp>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr std::uint64_t MaxBound = 100000;
+
+std::string keyOf(const ServiceId &service, const std::string &name)
+{
+    return service.text() + "/" + name;
+}
+
+TargetState parseState(const std::string &text, internal::ObjectReader &reader)
+{
+    if (text == "cold") {
+        return TargetState::Cold;
+    }
+    if (text == "ready") {
+        return TargetState::Ready;
+    }
+    if (text != "leaving") {
+        reader.fail("state", "must be cold, ready or leaving");
+    }
+    return TargetState::Leaving;
+}
+
+bool sameAnnouncement(const Announcement &a, const Announcement &b)
+{
+    const TargetAnnouncement &x = a.target;
+    const TargetAnnouncement &y = b.target;
+    return a.address == b.address && x.bootId == y.bootId && x.state == y.state && x.slots == y.slots
+           && x.connections == y.connections;
+}
+
+}
+
+absl::StatusOr<Announcement> parseAnnouncement(std::string_view text)
+{
+    const auto document = internal::parseJson(text);
+    if (!document.ok()) {
+        return document.status();
+    }
+    absl::Status status;
+    Announcement out;
+    internal::ObjectReader reader(*document, "$", &status);
+    out.service.firm = reader.name("firm");
+    out.service.service = reader.name("service");
+    out.name = reader.name("name");
+    const auto address = parseAddress(reader.text("address"));
+    if (!address.ok()) {
+        reader.fail("address", "must be HOST:PORT");
+    } else {
+        out.address = *address;
+    }
+    out.target.bootId = reader.name("boot_id");
+    out.target.state = parseState(reader.text("state"), reader);
+    out.target.slots = static_cast<std::uint32_t>(reader.number("slots", 1, MaxBound));
+    out.target.connections = static_cast<std::uint32_t>(reader.number("connections", 1, MaxBound));
+    reader.refuseOthers();
+    if (!status.ok()) {
+        return status;
+    }
+    return out;
+}
+
+LocalTargets::LocalTargets(Options options, ServiceTable &services, EventLog &log, Metrics &metrics)
+    : m_options(std::move(options))
+    , m_services(services)
+    , m_log(log)
+    , m_metrics(metrics)
+{
+}
+
+bool LocalTargets::announce(const Announcement &announcement)
+{
+    const std::lock_guard lock(m_mutex);
+    Entry &entry = m_entries[keyOf(announcement.service, announcement.name)];
+    const bool changed = !entry.guarded || !sameAnnouncement(entry.announcement, announcement);
+    entry.renewed = m_options.clock->now();
+    if (!entry.guarded) {
+        GuardedTargetOptions options;
+        options.clock = m_options.clock;
+        options.stallTimeout = m_options.stallTimeout;
+        options.onRefusal = [this](GuardRefusal refusal) {
+            m_metrics
+                .counter("shallotrelay_guard_refusals_total", "Refusals by reason", {{"reason", toString(refusal)}})
+                .Increment();
+        };
+        entry.guarded = std::make_shared<GuardedTarget>(options);
+    }
+    entry.announcement = announcement;
+    if (m_leaving) {
+        entry.announcement.target.state = TargetState::Leaving;
+    }
+    if (changed) {
+        ++entry.sequence;
+        entry.guarded->setPolicy(policyOf(entry));
+        m_log.write(LogLevel::Info, "target",
+                    {{"target", keyOf(announcement.service, announcement.name)},
+                     {"state", toString(entry.announcement.target.state)},
+                     {"boot_id", announcement.target.bootId}});
+    }
+    entry.guarded->announced(entry.announcement.target, announcement.address);
+    if (changed) {
+        publish();
+    }
+    return changed;
+}
+
+bool LocalTargets::expire()
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_options.clock->now();
+    const std::size_t before = m_entries.size();
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (now - it->second.renewed < m_options.lease) {
+            ++it;
+            continue;
+        }
+        it->second.guarded->announcementEnded();
+        m_log.write(LogLevel::Warn, "target", {{"target", it->first}, {"state", "lease-ended"}});
+        it = m_entries.erase(it);
+    }
+    if (m_entries.size() == before) {
+        return false;
+    }
+    publish();
+    return true;
+}
+
+void LocalTargets::leaveAll()
+{
+    const std::lock_guard lock(m_mutex);
+    m_leaving = true;
+    for (auto &it : m_entries) {
+        Entry &entry = it.second;
+        entry.announcement.target.state = TargetState::Leaving;
+        ++entry.sequence;
+        entry.guarded->announced(entry.announcement.target, entry.announcement.address);
+    }
+    publish();
+}
+
+void LocalTargets::applyPolicies()
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &it : m_entries) {
+        it.second.guarded->setPolicy(policyOf(it.second));
+    }
+}
+
+void LocalTargets::tick()
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &it : m_entries) {
+        it.second.guarded->tick();
+    }
+}
+
+std::shared_ptr<GuardedTarget> LocalTargets::find(const ServiceId &service, const std::string &name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(keyOf(service, name));
+    return it == m_entries.end() ? nullptr : it->second.guarded;
+}
+
+std::vector<TargetRecord> LocalTargets::records() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<TargetRecord> out;
+    for (const auto &it : m_entries) {
+        out.push_back(toRecord(it.second));
+    }
+    return out;
+}
+
+void LocalTargets::setPeerAddress(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    m_options.peerAddress = address;
+}
+
+TargetRecord LocalTargets::toRecord(const Entry &entry) const
+{
+    const Announcement &announcement = entry.announcement;
+    TargetRecord record;
+    record.firm = announcement.service.firm;
+    record.service = announcement.service.service;
+    record.name = announcement.name;
+    record.dataCentre = m_options.dataCentre;
+    record.peerAddress = m_options.peerAddress;
+    record.incarnation = m_options.incarnation;
+    record.sequence = entry.sequence;
+    record.slots = announcement.target.slots;
+    record.connections = announcement.target.connections;
+    record.bootId = announcement.target.bootId;
+    record.state = announcement.target.state;
+    return record;
+}
+
+GuardPolicy LocalTargets::policyOf(const Entry &entry) const
+{
+    GuardPolicy policy;
+    const ServiceId &service = entry.announcement.service;
+    const auto bundle = m_services.bundleOf(service.firm);
+    if (!bundle) {
+        return policy;
+    }
+    policy.revision = bundle->revision;
+    const ServicePolicy *found = bundle->bundle.findService(service.service);
+    if (found == nullptr) {
+        return policy;
+    }
+    const TargetBounds &bounds = found->boundsOf(entry.announcement.name);
+    policy.served = found->dataCentres.contains(m_options.dataCentre) && bundle->bundle.inService(m_options.dataCentre);
+    policy.slots = bounds.slots;
+    policy.connections = bounds.connections;
+    policy.coldSlots = found->coldSlots;
+    policy.coldRamp = found->coldRamp;
+    policy.queueLength = found->queueLength;
+    policy.queueWait = found->queueWait;
+    return policy;
+}
+
+/// Makes the node's own router see its targets without a way round through control; the lock must be held.
+void LocalTargets::publish()
+{
+    std::vector<TargetRecord> out;
+    for (const auto &it : m_entries) {
+        out.push_back(toRecord(it.second));
+    }
+    m_services.applyLocalTargets(out);
+}
+
+}
--- /dev/null
+++ b/src/daemon/servicetable.cpp
@@ -0,0 +1,147 @@
+#include "daemon/servicetable.h"
+
+#include <algorithm>
+
+namespace shallotrelay
+{
+namespace
+{
+
+/// Names this node itself among the sources of the directory.
+constexpr const char *LocalSource = "local";
+
+RouterTarget toRouterTarget(const TargetRecord &record, const AppliedBundle &bundle, const ServicePolicy &policy)
+{
+    RouterTarget target;
+    target.name = record.name;
+    target.dataCentre = record.dataCentre;
+    target.state = record.state;
+    target.bootId = record.bootId;
+    const std::uint32_t slots = std::min(policy.boundsOf(record.name).slots, record.slots);
+    target.limit = record.state == TargetState::Cold ? std::min(policy.coldSlots, slots) : slots;
+    target.inService = policy.dataCentres.contains(record.dataCentre) && bundle.bundle.inService(record.dataCentre);
+    return target;
+}
+
+}
+
+ServiceTable::ServiceTable(const Clock &clock, RouterOptions options, std::uint64_t seed)
+    : m_clock(clock)
+    , m_options(std::move(options))
+    , m_seed(seed)
+{
+}
+
+absl::StatusOr<bool> ServiceTable::applyBundle(const AcceptedBundle &accepted)
+{
+    auto parsed = parseSignedBundle(accepted.signedText);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const std::unique_lock lock(m_mutex);
+    auto &current = m_bundles[parsed->bundle.firm];
+    if (current && current->revision >= accepted.revision) {
+        return false;
+    }
+    current = std::make_shared<AppliedBundle>(AppliedBundle{accepted.revision, std::move(parsed->bundle)});
+    rebuild();
+    return true;
+}
+
+void ServiceTable::applyDirectory(const std::string &source, const DirectoryUpdate &update)
+{
+    const std::unique_lock lock(m_mutex);
+    m_directory.apply(source, update);
+    rebuild();
+}
+
+void ServiceTable::applyLocalTargets(const std::vector<TargetRecord> &records)
+{
+    DirectoryUpdate update;
+    update.full = true;
+    update.sequence = 1;
+    update.records = records;
+    applyDirectory(LocalSource, update);
+}
+
+std::uint64_t ServiceTable::directorySequence(const std::string &source) const
+{
+    const std::shared_lock lock(m_mutex);
+    return m_directory.sequenceOf(source);
+}
+
+std::shared_ptr<ServiceShard> ServiceTable::find(const ServiceId &id) const
+{
+    const std::shared_lock lock(m_mutex);
+    const auto it = m_services.find(id);
+    return it == m_services.end() ? nullptr : it->second;
+}
+
+std::vector<std::shared_ptr<ServiceShard>> ServiceTable::all() const
+{
+    const std::shared_lock lock(m_mutex);
+    std::vector<std::shared_ptr<ServiceShard>> out;
+    for (const auto &it : m_services) {
+        out.push_back(it.second);
+    }
+    return out;
+}
+
+std::shared_ptr<const AppliedBundle> ServiceTable::bundleOf(const std::string &firm) const
+{
+    const std::shared_lock lock(m_mutex);
+    const auto it = m_bundles.find(firm);
+    return it == m_bundles.end() ? nullptr : it->second;
+}
+
+std::vector<FirmRevision> ServiceTable::applied() const
+{
+    const std::shared_lock lock(m_mutex);
+    std::vector<FirmRevision> out;
+    for (const auto &it : m_bundles) {
+        out.push_back({it.first, it.second->bundle.version, it.second->revision});
+    }
+    return out;
+}
+
+void ServiceTable::rebuild()
+{
+    std::map<ServiceId, std::vector<TargetRecord>> records;
+    for (TargetRecord &it : m_directory.targets()) {
+        const ServiceId id{it.firm, it.service};
+        records[id].push_back(std::move(it));
+    }
+    std::map<ServiceId, std::shared_ptr<ServiceShard>> services;
+    for (const auto &firm : m_bundles) {
+        for (const auto &service : firm.second->bundle.services) {
+            const ServiceId id{firm.first, service.first};
+            const auto known = m_services.find(id);
+            const std::uint64_t seed = m_seed ^ std::hash<std::string>{}(id.text());
+            services[id]
+                = known != m_services.end() ? known->second : std::make_shared<ServiceShard>(id, m_options, seed);
+        }
+    }
+    m_services = std::move(services);
+    for (const auto &it : m_services) {
+        const AppliedBundle &bundle = *m_bundles.at(it.first.firm);
+        rebuildService(it.first, bundle, *bundle.bundle.findService(it.first.service), records[it.first]);
+    }
+}
+
+void ServiceTable::rebuildService(const ServiceId &id, const AppliedBundle &bundle, const ServicePolicy &policy,
+                                  const std::vector<TargetRecord> &records)
+{
+    ServiceShard &shard = *m_services.at(id);
+    std::vector<RouterTarget> targets;
+    std::map<std::string, TargetRecord> byName;
+    for (const TargetRecord &it : records) {
+        targets.push_back(toRouterTarget(it, bundle, policy));
+        byName[it.name] = it;
+    }
+    const std::lock_guard lock(shard.mutex);
+    shard.router.setTargets(targets, m_clock.now());
+    shard.budget.setPercent(policy.retryPercent);
+    shard.records = std::move(byName);
+}
+
+}
--- /dev/null
+++ b/src/guard/guard.cpp
@@ -0,0 +1,342 @@
+#include "shallotrelay/guard/guard.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr double BaselineWeight = 0.01;
+constexpr double RecentWeight = 0.2;
+constexpr double FailureWeight = 0.15;
+constexpr double SlowFactor = 3.0;
+constexpr double FastFactor = 2.0;
+constexpr std::uint64_t MinSamplesForSlowness = 50;
+constexpr std::uint32_t MinOldForSlowness = 3;
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(10);
+constexpr Duration LeavingRetryAfter = std::chrono::seconds(1);
+/// A target that stays slow for this long is taken to be as fast as it gets.
+constexpr Duration SlowModeBound = std::chrono::seconds(10);
+
+double toSeconds(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+double blend(double average, double value, double weight)
+{
+    return average + weight * (value - average);
+}
+
+std::uint32_t leastNonZero(std::uint32_t a, std::uint32_t b)
+{
+    if (a == 0 || b == 0) {
+        return std::max(a, b);
+    }
+    return std::min(a, b);
+}
+
+}
+
+const char *toString(GuardRefusal refusal)
+{
+    switch (refusal) {
+    case GuardRefusal::None:
+        return "none";
+    case GuardRefusal::AtLimit:
+        return "at-limit";
+    case GuardRefusal::QueueFull:
+        return "queue-full";
+    case GuardRefusal::Leaving:
+        return "leaving";
+    case GuardRefusal::NotServed:
+        return "not-served";
+    case GuardRefusal::Absent:
+        return "absent";
+    case GuardRefusal::Expired:
+        return "expired";
+    }
+    return "invalid";
+}
+
+GuardRelease Guard::setPolicy(const GuardPolicy &policy, TimePoint now)
+{
+    if (policy.revision < m_policy.revision) {
+        return {};
+    }
+    const bool returned = policy.served && !m_policy.served;
+    m_policy = policy;
+    if (returned) {
+        m_readySince = now;
+    }
+    if (standingRefusal() != GuardRefusal::None) {
+        return refuseAllWaiting();
+    }
+    return releaseWaiting(now);
+}
+
+GuardRelease Guard::announced(const TargetAnnouncement &announcement, TimePoint now)
+{
+    const bool restarted = !m_present || announcement.bootId != m_announcement.bootId;
+    const bool becameReady = announcement.state == TargetState::Ready && m_announcement.state != TargetState::Ready;
+    m_announcement = announcement;
+    m_present = true;
+    if (restarted) {
+        enterCold(now);
+    }
+    if (restarted || becameReady || m_suspected) {
+        m_readySince = now;
+    }
+    m_suspected = false;
+    if (standingRefusal() != GuardRefusal::None) {
+        return refuseAllWaiting();
+    }
+    return releaseWaiting(now);
+}
+
+GuardRelease Guard::announcementEnded(TimePoint now)
+{
+    m_present = false;
+    enterCold(now);
+    return refuseAllWaiting();
+}
+
+void Guard::suspectRestart(TimePoint now)
+{
+    m_suspected = true;
+    enterCold(now);
+}
+
+void Guard::enterCold(TimePoint now)
+{
+    m_readySince = now;
+    m_slow = false;
+    m_samples = 0;
+}
+
+GuardRefusal Guard::standingRefusal() const
+{
+    if (!m_present) {
+        return GuardRefusal::Absent;
+    }
+    if (m_announcement.state == TargetState::Leaving) {
+        return GuardRefusal::Leaving;
+    }
+    if (!m_policy.served) {
+        return GuardRefusal::NotServed;
+    }
+    return GuardRefusal::None;
+}
+
+std::uint32_t Guard::fullLimit() const
+{
+    const std::uint32_t slots = leastNonZero(m_policy.slots, m_announcement.slots);
+    return std::min(slots, connectionLimit());
+}
+
+std::uint32_t Guard::connectionLimit() const
+{
+    return leastNonZero(m_policy.connections, m_announcement.connections);
+}
+
+std::uint32_t Guard::rampLimit(TimePoint now) const
+{
+    const std::uint32_t full = fullLimit();
+    const std::uint32_t cold = std::min(m_policy.coldSlots, full);
+    if (m_suspected || m_announcement.state == TargetState::Cold) {
+        return cold;
+    }
+    const double elapsed = toSeconds(now - m_readySince);
+    const double ramp = toSeconds(m_policy.coldRamp);
+    if (elapsed >= ramp) {
+        return full;
+    }
+    return cold + static_cast<std::uint32_t>((full - cold) * elapsed / ramp);
+}
+
+std::uint32_t Guard::limit(TimePoint now) const
+{
+    if (standingRefusal() != GuardRefusal::None) {
+        return 0;
+    }
+    const std::uint32_t ramp = rampLimit(now);
+    return m_slow ? std::min(ramp, m_slowLimit) : ramp;
+}
+
+GuardAnswer Guard::offer(const GuardOffer &offer, TimePoint now)
+{
+    GuardAnswer answer;
+    answer.refusal = standingRefusal();
+    answer.retryAfter = LeavingRetryAfter;
+    if (answer.refusal != GuardRefusal::None) {
+        return answer;
+    }
+    if (offer.deadline <= now) {
+        answer.refusal = GuardRefusal::Expired;
+        return answer;
+    }
+    if (m_waiting.empty() && m_running.size() < limit(now)) {
+        m_running[offer.ticket] = {now, false};
+        answer.kind = GuardAnswer::Kind::Admitted;
+        return answer;
+    }
+    answer.retryAfter = retryAfter();
+    const bool queues = offer.mayQueue && m_policy.queueLength > 0;
+    if (!queues || m_waiting.size() >= m_policy.queueLength) {
+        answer.refusal = queues ? GuardRefusal::QueueFull : GuardRefusal::AtLimit;
+        return answer;
+    }
+    m_waiting.push_back({offer.ticket, std::min(offer.deadline, now + m_policy.queueWait)});
+    answer.kind = GuardAnswer::Kind::Queued;
+    return answer;
+}
+
+bool Guard::withdraw(GuardTicket ticket)
+{
+    const auto same = [&](const Waiting &it) { return it.ticket == ticket; };
+    return std::erase_if(m_waiting, same) > 0;
+}
+
+void Guard::headArrived(GuardTicket ticket, TimePoint)
+{
+    const auto it = m_running.find(ticket);
+    if (it != m_running.end()) {
+        it->second.headSeen = true;
+    }
+}
+
+GuardRelease Guard::finished(GuardTicket ticket, const GuardOutcome &outcome, TimePoint now)
+{
+    if (m_running.erase(ticket) == 0) {
+        return {};
+    }
+    m_failureShare = blend(m_failureShare, outcome.failed ? 1.0 : 0.0, FailureWeight);
+    if (outcome.answered && !outcome.failed) {
+        learnLatency(outcome, now);
+    }
+    return releaseWaiting(now);
+}
+
+GuardRelease Guard::tick(TimePoint now)
+{
+    checkForSlowness(now);
+    return releaseWaiting(now);
+}
+
+void Guard::learnLatency(const GuardOutcome &outcome, TimePoint now)
+{
+    const double latency = toSeconds(outcome.headLatency);
+    m_recentLatency = m_samples == 0 ? latency : blend(m_recentLatency, latency, RecentWeight);
+    ++m_samples;
+    if (!m_slow) {
+        const double weight = std::max(BaselineWeight, 1.0 / static_cast<double>(m_samples));
+        m_baselineLatency = blend(m_baselineLatency, latency, weight);
+        return;
+    }
+    if (now - m_slowSince >= SlowModeBound) {
+        m_slow = false;
+        m_samples = 0;
+        return;
+    }
+    if (latency > FastFactor * m_baselineLatency) {
+        m_fastAnswers = 0;
+        m_slowLimit = std::min(m_slowLimit, m_policy.coldSlots);
+        return;
+    }
+    ++m_fastAnswers;
+    if (m_fastAnswers >= MinOldForSlowness) {
+        ++m_slowLimit;
+    }
+    m_slow = m_slowLimit < fullLimit();
+}
+
+void Guard::checkForSlowness(TimePoint now)
+{
+    if (m_slow || m_samples < MinSamplesForSlowness || m_baselineLatency <= 0) {
+        return;
+    }
+    const TimePoint cutoff = now - fromSeconds(SlowFactor * m_baselineLatency);
+    std::uint32_t waitingForHead = 0;
+    std::uint32_t old = 0;
+    for (const auto &it : m_running) {
+        if (!it.second.headSeen) {
+            ++waitingForHead;
+            old += it.second.start < cutoff ? 1 : 0;
+        }
+    }
+    if (old >= MinOldForSlowness && 2 * old >= waitingForHead) {
+        m_slow = true;
+        m_slowSince = now;
+        m_slowLimit = std::max(1U, m_policy.coldSlots);
+        m_fastAnswers = 0;
+    }
+}
+
+GuardRelease Guard::releaseWaiting(TimePoint now)
+{
+    GuardRelease release;
+    const auto waitedTooLong = [&](const Waiting &it) {
+        if (it.giveUp <= now) {
+            release.expired.push_back(it.ticket);
+        }
+        return it.giveUp <= now;
+    };
+    std::erase_if(m_waiting, waitedTooLong);
+    const std::uint32_t bound = limit(now);
+    while (!m_waiting.empty() && m_running.size() < bound) {
+        const GuardTicket ticket = m_waiting.front().ticket;
+        m_running[ticket] = {now, false};
+        release.admitted.push_back(ticket);
+        m_waiting.pop_front();
+    }
+    return release;
+}
+
+GuardRelease Guard::refuseAllWaiting()
+{
+    GuardRelease release;
+    for (const Waiting &it : m_waiting) {
+        release.expired.push_back(it.ticket);
+    }
+    m_waiting.clear();
+    return release;
+}
+
+Duration Guard::retryAfter() const
+{
+    const double ahead = static_cast<double>(m_waiting.size()) + 1.0;
+    const double slots = std::max<double>(1.0, fullLimit());
+    return std::max(LeastRetryAfter, fromSeconds(m_recentLatency * ahead / slots));
+}
+
+LoadReport Guard::load(TimePoint now) const
+{
+    LoadReport report;
+    report.inFlight = inFlight();
+    report.limit = limit(now);
+    report.queued = queued();
+    report.state = m_present ? m_announcement.state : TargetState::Leaving;
+    report.failurePerMille = static_cast<std::uint32_t>(std::lround(m_failureShare * 1000));
+    report.latencyUs = static_cast<std::uint32_t>(std::min(m_recentLatency * 1e6, 4e9));
+    report.revision = m_policy.revision;
+    return report;
+}
+
+std::uint32_t Guard::inFlight() const
+{
+    return static_cast<std::uint32_t>(m_running.size());
+}
+
+std::uint32_t Guard::queued() const
+{
+    return static_cast<std::uint32_t>(m_waiting.size());
+}
+
+}
--- /dev/null
+++ b/src/membership/directory.cpp
@@ -0,0 +1,187 @@
+#include "shallotrelay/membership/directory.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace shallotrelay
+{
+namespace
+{
+
+/// Changes that a node may be behind before it gets the full state.
+constexpr std::size_t MaxKnownChanges = 4096;
+
+}
+
+std::string targetKey(const TargetRecord &record)
+{
+    return record.firm + "/" + record.service + "/" + record.name;
+}
+
+bool isNewer(const TargetRecord &record, const TargetRecord &other)
+{
+    return std::tie(record.incarnation, record.sequence) > std::tie(other.incarnation, other.sequence);
+}
+
+Directory::Directory(Duration lease)
+    : m_lease(lease)
+{
+}
+
+bool Directory::report(const NodeReport &report, TimePoint now)
+{
+    NodeLease &node = m_nodes[report.node];
+    if (report.incarnation < node.incarnation) {
+        return false;
+    }
+    node.incarnation = report.incarnation;
+    node.lastReport = now;
+    bool changed = removeMissing(report);
+    for (const TargetRecord &it : report.targets) {
+        changed = put(it, report.node) || changed;
+    }
+    return changed;
+}
+
+bool Directory::expire(TimePoint now)
+{
+    std::vector<std::string> ended;
+    for (const auto &it : m_nodes) {
+        if (now - it.second.lastReport >= m_lease) {
+            ended.push_back(it.first);
+        }
+    }
+    bool changed = false;
+    for (const std::string &it : ended) {
+        changed = removeNode(it) || changed;
+    }
+    return changed;
+}
+
+DirectoryUpdate Directory::updateSince(std::uint64_t sequence) const
+{
+    DirectoryUpdate update;
+    update.sequence = m_sequence;
+    const bool known = !m_changes.empty() && m_changes.front().sequence <= sequence + 1 && sequence <= m_sequence;
+    update.full = sequence == 0 || (sequence != m_sequence && !known);
+    if (update.full) {
+        for (const auto &it : m_listings) {
+            update.records.push_back(it.second.record);
+        }
+        return update;
+    }
+    std::set<std::string> keys;
+    for (auto it = m_changes.rbegin(); it != m_changes.rend() && it->sequence > sequence; ++it) {
+        keys.insert(it->key);
+    }
+    for (const std::string &key : keys) {
+        const auto it = m_listings.find(key);
+        if (it == m_listings.end()) {
+            update.removed.push_back(key);
+        } else {
+            update.records.push_back(it->second.record);
+        }
+    }
+    return update;
+}
+
+std::uint64_t Directory::sequence() const
+{
+    return m_sequence;
+}
+
+std::size_t Directory::size() const
+{
+    return m_listings.size();
+}
+
+bool Directory::put(const TargetRecord &record, const std::string &node)
+{
+    const std::string key = targetKey(record);
+    const auto it = m_listings.find(key);
+    if (it != m_listings.end() && !isNewer(record, it->second.record)) {
+        return false;
+    }
+    m_listings[key] = {record, node};
+    noteChange(key);
+    return true;
+}
+
+bool Directory::removeMissing(const NodeReport &report)
+{
+    std::set<std::string> present;
+    for (const TargetRecord &it : report.targets) {
+        present.insert(targetKey(it));
+    }
+    std::vector<std::string> missing;
+    for (const auto &it : m_listings) {
+        if (it.second.node == report.node && !present.contains(it.first)) {
+            missing.push_back(it.first);
+        }
+    }
+    for (const std::string &it : missing) {
+        m_listings.erase(it);
+        noteChange(it);
+    }
+    return !missing.empty();
+}
+
+bool Directory::removeNode(const std::string &node)
+{
+    NodeReport nothing;
+    nothing.node = node;
+    m_nodes.erase(node);
+    return removeMissing(nothing);
+}
+
+void Directory::noteChange(const std::string &key)
+{
+    ++m_sequence;
+    m_changes.push_back({m_sequence, key});
+    if (m_changes.size() > MaxKnownChanges) {
+        m_changes.pop_front();
+    }
+}
+
+void DirectoryView::apply(const std::string &source, const DirectoryUpdate &update)
+{
+    Source &from = m_sources[source];
+    if (update.full) {
+        from.records.clear();
+    }
+    for (const TargetRecord &it : update.records) {
+        from.records[targetKey(it)] = it;
+    }
+    for (const std::string &it : update.removed) {
+        from.records.erase(it);
+    }
+    from.sequence = update.sequence;
+}
+
+std::uint64_t DirectoryView::sequenceOf(const std::string &source) const
+{
+    const auto it = m_sources.find(source);
+    return it == m_sources.end() ? 0 : it->second.sequence;
+}
+
+std::vector<TargetRecord> DirectoryView::targets() const
+{
+    std::map<std::string, TargetRecord> newest;
+    for (const auto &source : m_sources) {
+        for (const auto &it : source.second.records) {
+            const auto known = newest.find(it.first);
+            if (known == newest.end() || isNewer(it.second, known->second)) {
+                newest[it.first] = it.second;
+            }
+        }
+    }
+    std::vector<TargetRecord> out;
+    out.reserve(newest.size());
+    for (auto &it : newest) {
+        out.push_back(std::move(it.second));
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/src/net/doorsession.cpp
@@ -0,0 +1,434 @@
+#include "net/doorsession.h"
+
+#include "base/text.h"
+#include "shallotrelay/base/random.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <random>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr std::size_t ReadAheadBytes = 8 * 1024;
+constexpr std::size_t CoalesceBytes = 256 * 1024;
+constexpr std::size_t LingerBytes = 1024 * 1024;
+constexpr Duration LingerBound = std::chrono::seconds(1);
+constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::uint16_t statusOf(const absl::Status &status)
+{
+    switch (status.code()) {
+    case absl::StatusCode::kNotFound:
+        return 404;
+    case absl::StatusCode::kUnimplemented:
+        return 501;
+    case absl::StatusCode::kFailedPrecondition:
+        return 417;
+    default:
+        return 400;
+    }
+}
+
+std::uint16_t statusOf(const boost::system::error_code &ec)
+{
+    if (ec == boost::beast::error::timeout) {
+        return 408;
+    }
+    return ec == http::error::header_limit ? 431 : 400;
+}
+
+/// Returns the request's id: unique without coordination.
+std::string newRequestId()
+{
+    thread_local Random random(std::random_device{}());
+    return randomId(random);
+}
+
+/// Returns the answer that the system itself makes for a request without a whole answer of a target.
+ResponseHead ownAnswer(const ExchangeResult &result, const std::string &requestId, std::string *body)
+{
+    const std::string execution = toString(result.execution);
+    nlohmann::json json = {{"execution", execution}, {"reason", result.reason}, {"request_id", requestId}};
+    ResponseHead head;
+    head.requestId = requestId;
+    head.status = result.status;
+    head.reason = std::string(http::obsolete_reason(static_cast<http::status>(result.status)));
+    head.headers = {{"Content-Type", "application/json"}, {std::string(ExecutionHeader), execution}};
+    if (result.retryAfter > Duration::zero()) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(result.retryAfter).count();
+        head.headers.push_back({"Retry-After", std::to_string(seconds)});
+        json["retry_after_ms"] = toWholeMilliseconds(result.retryAfter);
+    }
+    *body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    head.bodyKind = BodyKind::Sized;
+    head.contentLength = body->size();
+    return head;
+}
+
+}
+
+/// Reads the request body from the connection.
+class DoorSession::Source : public BodySource
+{
+public:
+    explicit Source(DoorSession &session)
+        : m_session(session)
+        , m_expects(!session.m_parser->get()[http::field::expect].empty() && session.m_parser->get().version() >= 11)
+        , m_ended(session.m_stream.get_executor())
+    {
+    }
+
+    asio::awaitable<absl::StatusOr<std::string>> read() override
+    {
+        if (m_expects) {
+            m_expects = false;
+            co_await asio::async_write(m_session.m_stream, asio::buffer(ContinueText), AsTuple);
+        }
+        auto &parser = *m_session.m_parser;
+        std::string data;
+        while (data.empty() && !parser.is_done()) {
+            data.resize(BodyChunkBytes);
+            auto &body = parser.get().body();
+            body.data = data.data();
+            body.size = data.size();
+            m_session.m_stream.expires_after(m_session.m_context.options.stallTimeout);
+            auto [ec, n] = co_await http::async_read_some(m_session.m_stream, m_session.m_buffer, parser, AsTuple);
+            data.resize(data.size() - body.size);
+            if (ec && ec != http::error::need_buffer) {
+                co_return toStatus(ec, "read the request body");
+            }
+        }
+        if (data.empty()) {
+            m_session.m_stream.expires_never();
+            m_ended.cancel();
+        }
+        m_returnedEnd = data.empty();
+        co_return data;
+    }
+
+    bool waitsForAdmission() const override
+    {
+        return m_expects;
+    }
+
+    bool atEnd() const override
+    {
+        return m_session.m_parser->is_done();
+    }
+
+    /// Returns once the whole body was read.
+    asio::awaitable<void> waitForEnd()
+    {
+        while (!atEnd()) {
+            m_ended.expires_at(asio::steady_timer::time_point::max());
+            co_await m_ended.async_wait(AsTuple);
+        }
+    }
+
+private:
+    DoorSession &m_session;
+    bool m_expects;
+    bool m_returnedEnd = false;
+    asio::steady_timer m_ended;
+};
+
+/// Writes the answer to the connection.
+class DoorSession::Sink : public CallerSink
+{
+public:
+    Sink(DoorSession &session, std::string requestId)
+        : m_session(session)
+        , m_requestId(std::move(requestId))
+        , m_version(session.m_parser->get().version())
+        , m_answersHead(session.m_parser->get().method() == http::verb::head)
+        , m_keepAlive(session.keepAlive())
+    {
+    }
+
+    void setWantsRetry(WantsRetry wantsRetry) override
+    {
+        m_wantsRetry = std::move(wantsRetry);
+    }
+
+    asio::awaitable<absl::Status> head(const ResponseHead &head, Flush flush) override
+    {
+        if (m_wantsRetry && m_wantsRetry(head)) {
+            co_return absl::AbortedError("the answer is dropped for a new try");
+        }
+        ResponseHead out = head;
+        out.headers.push_back({std::string(RequestIdHeader), m_requestId});
+        const bool streamed = head.bodyKind == BodyKind::Streamed && !m_answersHead;
+        m_chunked = streamed && m_version >= 11;
+        m_keepAlive = m_keepAlive && (m_chunked || !streamed);
+        m_sized = head.bodyKind == BodyKind::Sized && !m_answersHead;
+        m_bytesLeft = head.contentLength;
+        m_output = responseHeadText(out, m_version, m_keepAlive, m_chunked);
+        co_return co_await flushIf(flush == Flush::Now);
+    }
+
+    asio::awaitable<absl::Status> chunk(std::string data, Flush flush) override
+    {
+        if (m_sized && data.size() > m_bytesLeft) {
+            co_return absl::DataLossError("the answer is longer than announced");
+        }
+        m_bytesLeft -= m_sized ? data.size() : 0;
+        if (m_chunked) {
+            appendChunk(&m_output, data);
+        } else if (m_output.empty()) {
+            m_output = std::move(data);
+        } else {
+            m_output.append(data);
+        }
+        co_return co_await flushIf(flush == Flush::Now || m_output.size() >= CoalesceBytes);
+    }
+
+    asio::awaitable<absl::Status> end(const LoadReport &) override
+    {
+        if (m_sized && m_bytesLeft > 0) {
+            co_return absl::DataLossError("the answer is shorter than announced");
+        }
+        if (m_chunked) {
+            appendChunk(&m_output, {});
+        }
+        co_return co_await flushIf(true);
+    }
+
+    asio::awaitable<absl::Status> admitted(const LoadReport &) override
+    {
+        co_return absl::OkStatus();
+    }
+
+    /// Returns whether the connection can carry another request.
+    bool keepsAlive() const
+    {
+        return m_keepAlive;
+    }
+
+    /// Answers in place of a target.
+    asio::awaitable<void> answerItself(const ExchangeResult &result, bool keepAlive)
+    {
+        m_keepAlive = m_keepAlive && keepAlive;
+        m_wantsRetry = nullptr;
+        std::string body;
+        const ResponseHead own = ownAnswer(result, m_requestId, &body);
+        co_await head(own, Flush::WithNext);
+        if (!m_answersHead) {
+            co_await chunk(std::move(body), Flush::WithNext);
+        }
+        co_await end({});
+    }
+
+private:
+    asio::awaitable<absl::Status> flushIf(bool now)
+    {
+        if (!now || m_output.empty()) {
+            co_return absl::OkStatus();
+        }
+        const std::string batch = std::exchange(m_output, {});
+        m_session.m_stream.expires_after(m_session.m_context.options.stallTimeout);
+        const auto [ec, n] = co_await asio::async_write(m_session.m_stream, asio::buffer(batch), AsTuple);
+        m_session.m_stream.expires_never();
+        co_return toStatus(ec, "write to the caller");
+    }
+
+    DoorSession &m_session;
+    std::string m_requestId;
+    unsigned m_version;
+    bool m_answersHead;
+    bool m_keepAlive;
+    bool m_chunked = false;
+    bool m_sized = false;
+    std::uint64_t m_bytesLeft = 0;
+    std::string m_output;
+    WantsRetry m_wantsRetry;
+};
+
+DoorSession::DoorSession(DoorContext &context, tcp::socket socket)
+    : m_context(context)
+    , m_stream(std::move(socket))
+{
+}
+
+asio::awaitable<void> DoorSession::run()
+{
+    while (co_await waitForRequest()) {
+        if (!co_await readHead()) {
+            break;
+        }
+        ++m_context.inProgress;
+        const bool goOn = co_await serveRequest();
+        --m_context.inProgress;
+        if (!goOn) {
+            break;
+        }
+    }
+    co_await lingerAndClose();
+}
+
+/// Lets the caller read the last answer: a connection that is closed with unread input would be reset.
+asio::awaitable<void> DoorSession::lingerAndClose()
+{
+    boost::system::error_code ec;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    m_stream.expires_after(LingerBound);
+    std::string scrap(ReadAheadBytes, '\0');
+    std::size_t total = 0;
+    while (!ec && total < LingerBytes) {
+        std::size_t n = 0;
+        std::tie(ec, n) = co_await m_stream.async_read_some(asio::buffer(scrap), AsTuple);
+        total += n;
+    }
+}
+
+/// Waits for the first byte of a request.
+asio::awaitable<bool> DoorSession::waitForRequest()
+{
+    if (m_context.draining) {
+        co_return false;
+    }
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    m_stream.expires_after(m_context.options.idleTimeout);
+    const auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(ReadAheadBytes), AsTuple);
+    m_stream.expires_never();
+    m_buffer.commit(n);
+    co_return !ec;
+}
+
+asio::awaitable<bool> DoorSession::readHead()
+{
+    m_parser.emplace();
+    m_parser->header_limit(m_context.options.maxHeadBytes);
+    m_parser->body_limit(boost::none);
+    m_stream.expires_after(m_context.options.headTimeout);
+    const auto [ec, n] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, AsTuple);
+    m_stream.expires_never();
+    if (!ec) {
+        co_return true;
+    }
+    const bool closed = ec == http::error::end_of_stream || ec.category() == boost::system::system_category();
+    if (!closed) {
+        co_await refuseHead(statusOf(ec), ec.message());
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> DoorSession::refuseHead(std::uint16_t status, std::string reason)
+{
+    ExchangeResult result;
+    result.status = status;
+    result.reason = std::move(reason);
+    std::string body;
+    const ResponseHead head = ownAnswer(result, newRequestId(), &body);
+    constexpr unsigned Http11 = 11;
+    const std::string text = responseHeadText(head, Http11, false, false) + body;
+    // A connection that timed out is closed already; what cannot be written is lost with it.
+    m_stream.expires_after(m_context.options.headTimeout);
+    co_await asio::async_write(m_stream, asio::buffer(text), AsTuple);
+    co_return false;
+}
+
+absl::StatusOr<CallerRequest> DoorSession::toRequest()
+{
+    const auto &message = m_parser->get();
+    if (const absl::Status status = checkRequestHead(message); !status.ok()) {
+        return status;
+    }
+    const auto host = message[http::field::host];
+    const auto place = findServicePath({message.target().data(), message.target().size()}, {host.data(), host.size()});
+    if (!place.ok()) {
+        return place.status();
+    }
+    const auto wanted = requestedDeadline(message);
+    if (!wanted.ok()) {
+        return wanted.status();
+    }
+    CallerRequest request;
+    const Duration span = std::min(wanted->value_or(m_context.options.defaultDeadline), m_context.options.maxDeadline);
+    request.deadline = m_context.clock.now() + span;
+    RequestHead &head = request.head;
+    head.requestId = newRequestId();
+    head.firm = place->service.firm;
+    head.service = place->service.service;
+    head.path = place->path;
+    head.method = std::string(message.method_string());
+    head.headers = endToEndFields(message);
+    head.idempotencyKey = std::string(message["Idempotency-Key"]);
+    const auto length = m_parser->content_length();
+    if (m_parser->chunked()) {
+        head.bodyKind = BodyKind::Streamed;
+    } else if (length && *length > 0) {
+        head.bodyKind = BodyKind::Sized;
+        head.contentLength = *length;
+    }
+    return request;
+}
+
+bool DoorSession::keepAlive() const
+{
+    return m_parser->keep_alive() && !m_context.draining;
+}
+
+asio::awaitable<bool> DoorSession::serveRequest()
+{
+    auto request = toRequest();
+    if (!request.ok()) {
+        co_return co_await refuseHead(statusOf(request.status()), std::string(request.status().message()));
+    }
+    Source source(*this);
+    Sink sink(*this, request->head.requestId);
+    const ExchangeResult result = co_await dispatch(*request, source, sink);
+    if (result.whole) {
+        co_return sink.keepsAlive() && source.atEnd();
+    }
+    constexpr std::uint16_t CallerGone = 499;
+    if (result.status == CallerGone || result.status == 0) {
+        co_return false;
+    }
+    co_await sink.answerItself(result, source.atEnd());
+    co_return sink.keepsAlive() && source.atEnd();
+}
+
+asio::awaitable<ExchangeResult> DoorSession::dispatch(CallerRequest &request, Source &source, Sink &sink)
+{
+    using namespace asio::experimental::awaitable_operators;
+    ExchangeProgress progress;
+    const auto first = co_await (m_context.dispatch(request, source, sink, progress) || watchCaller(source));
+    ExchangeResult result;
+    if (first.index() == 0) {
+        result = std::get<0>(first);
+    } else {
+        result.status = 499;
+        result.execution = progress.execution;
+    }
+    if (!result.whole && progress.answerStarted) {
+        // Part of an answer went out; only a closed connection tells the caller that it is not whole.
+        result.status = 0;
+    }
+    co_return result;
+}
+
+/// Ends once the caller has gone.
+asio::awaitable<void> DoorSession::watchCaller(Source &source)
+{
+    co_await source.waitForEnd();
+    if (m_buffer.size() == 0) {
+        co_await m_stream.socket().async_wait(tcp::socket::wait_read, AsTuple);
+        char byte = 0;
+        const ssize_t n = ::recv(m_stream.socket().native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+        if (n <= 0) {
+            co_return;
+        }
+    }
+    co_await sleepForever();
+}
+
+}
--- /dev/null
+++ b/src/net/framestream.cpp
@@ -0,0 +1,173 @@
+#include "net/framestream.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <array>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr Duration FrameTimeout = std::chrono::seconds(10);
+constexpr std::size_t InputBufferBytes = 16 * 1024;
+
+}
+
+struct FrameStream::Impl {
+    Impl(tcp::socket socket, std::size_t maxPayload)
+        : stream(std::move(socket))
+        , writeDone(stream.get_executor())
+        , maxPayloadBytes(maxPayload)
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    asio::steady_timer writeDone;
+    std::size_t maxPayloadBytes;
+    std::string input;
+    std::string output;
+    bool writing = false;
+    std::uint64_t bytesIn = 0;
+    std::uint64_t bytesOut = 0;
+
+    /// Reads until the input holds the bytes; the connection is usually read in one step.
+    asio::awaitable<absl::Status> fill(std::size_t bytes, Duration timeout)
+    {
+        while (input.size() < bytes) {
+            const std::size_t before = input.size();
+            const std::size_t room = std::max(InputBufferBytes, bytes - before);
+            input.resize(before + room);
+            stream.expires_after(timeout);
+            const auto [ec, n] = co_await stream.async_read_some(asio::buffer(input.data() + before, room), AsTuple);
+            stream.expires_never();
+            input.resize(before + n);
+            bytesIn += n;
+            if (ec) {
+                co_return toStatus(ec, "read a frame");
+            }
+        }
+        co_return absl::OkStatus();
+    }
+};
+
+/// Marks a write as in progress; a cancelled write ends its turn, too.
+class FrameStream::WriteTurn
+{
+public:
+    explicit WriteTurn(Impl &impl)
+        : m_impl(impl)
+    {
+        m_impl.writing = true;
+    }
+
+    ~WriteTurn()
+    {
+        m_impl.writing = false;
+        m_impl.writeDone.cancel();
+    }
+
+    WriteTurn(const WriteTurn &) = delete;
+    WriteTurn &operator=(const WriteTurn &) = delete;
+
+private:
+    Impl &m_impl;
+};
+
+FrameStream::FrameStream(tcp::socket socket, std::size_t maxPayloadBytes)
+    : m_impl(std::make_unique<Impl>(std::move(socket), maxPayloadBytes))
+{
+}
+
+FrameStream::~FrameStream() = default;
+
+asio::awaitable<absl::StatusOr<Frame>> FrameStream::read(Duration idle)
+{
+    if (const absl::Status status = co_await m_impl->fill(FrameHeaderBytes, idle); !status.ok()) {
+        co_return status;
+    }
+    const auto view = std::string_view(m_impl->input).substr(0, FrameHeaderBytes);
+    const auto header = parseFrameHeader(view, m_impl->maxPayloadBytes);
+    if (!header.ok()) {
+        co_return header.status();
+    }
+    const std::size_t whole = FrameHeaderBytes + header->payloadBytes;
+    if (const absl::Status status = co_await m_impl->fill(whole, FrameTimeout); !status.ok()) {
+        co_return status;
+    }
+    Frame frame{header->type, m_impl->input.substr(FrameHeaderBytes, header->payloadBytes)};
+    m_impl->input.erase(0, whole);
+    co_return frame;
+}
+
+void FrameStream::queueBytes(std::string bytes)
+{
+    if (m_impl->output.empty()) {
+        m_impl->output = std::move(bytes);
+    } else {
+        m_impl->output.append(bytes);
+    }
+}
+
+asio::awaitable<absl::Status> FrameStream::flush()
+{
+    while (m_impl->writing) {
+        m_impl->writeDone.expires_at(asio::steady_timer::time_point::max());
+        co_await m_impl->writeDone.async_wait(AsTuple);
+    }
+    if (m_impl->output.empty()) {
+        co_return absl::OkStatus();
+    }
+    const WriteTurn turn(*m_impl);
+    const std::string batch = std::exchange(m_impl->output, {});
+    const auto [ec, n] = co_await asio::async_write(m_impl->stream.socket(), asio::buffer(batch), AsTuple);
+    m_impl->bytesOut += n;
+    co_return toStatus(ec, "write a frame");
+}
+
+asio::awaitable<void> FrameStream::waitForClose()
+{
+    if (m_impl->input.empty()) {
+        const auto [ec] = co_await m_impl->stream.socket().async_wait(tcp::socket::wait_read, AsTuple);
+        char byte = 0;
+        const ssize_t n = ::recv(m_impl->stream.socket().native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+        if (ec || n <= 0) {
+            co_return;
+        }
+    }
+    co_await sleepForever();
+}
+
+bool FrameStream::stale()
+{
+    return !m_impl->input.empty() || isStale(m_impl->stream.socket());
+}
+
+bool FrameStream::buffered() const
+{
+    return !m_impl->input.empty();
+}
+
+std::uint64_t FrameStream::bytesIn() const
+{
+    return m_impl->bytesIn;
+}
+
+std::uint64_t FrameStream::bytesOut() const
+{
+    return m_impl->bytesOut;
+}
+
+asio::any_io_executor FrameStream::executor()
+{
+    return m_impl->stream.get_executor();
+}
+
+void FrameStream::close()
+{
+    m_impl->stream.close();
+}
+
+}
--- /dev/null
+++ b/src/net/guardedtarget.cpp
@@ -0,0 +1,511 @@
+#include "net/guardedtarget.h"
+
+#include "net/connectionpool.h"
+#include "net/targetconnection.h"
+#include "shallotrelay/retry/retry.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+
+namespace shallotrelay
+{
+namespace
+{
+
+using ConnectionPointer = std::unique_ptr<TargetConnection>;
+
+constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+
+/// A request that waits for a slot, on the event loop of its timer.
+struct Waiter {
+    explicit Waiter(const asio::any_io_executor &executor)
+        : timer(executor)
+    {
+    }
+
+    enum class Result { Pending, Admitted, Expired };
+
+    asio::steady_timer timer;
+    Result result = Result::Pending;
+};
+
+ExchangeResult refusalResult(const GuardAnswer &answer)
+{
+    ExchangeResult result;
+    result.status = answer.refusal == GuardRefusal::Expired ? 504 : 503;
+    result.reason = toString(answer.refusal);
+    result.retryAfter = answer.retryAfter;
+    return result;
+}
+
+}
+
+struct GuardedTarget::Impl {
+    explicit Impl(GuardedTargetOptions o)
+        : options(std::move(o))
+    {
+    }
+
+    /// Wakes the requests whose waiting ended; the lock must be held.
+    void wake(const GuardRelease &release)
+    {
+        for (const GuardTicket it : release.admitted) {
+            wakeOne(it, Waiter::Result::Admitted);
+        }
+        for (const GuardTicket it : release.expired) {
+            wakeOne(it, Waiter::Result::Expired);
+        }
+    }
+
+    void wakeOne(GuardTicket ticket, Waiter::Result result)
+    {
+        const auto it = waiters.find(ticket);
+        if (it == waiters.end()) {
+            return;
+        }
+        const std::shared_ptr<Waiter> waiter = it->second;
+        waiter->result = result;
+        asio::post(waiter->timer.get_executor(), [waiter] { waiter->timer.cancel(); });
+    }
+
+    void finish(GuardTicket ticket, const GuardOutcome &outcome)
+    {
+        const std::lock_guard lock(mutex);
+        wake(guard.finished(ticket, outcome, options.clock->now()));
+    }
+
+    /// Idle connections that may be kept without ever opening more than the bound together with those in use.
+    std::size_t idleBound()
+    {
+        const std::lock_guard lock(mutex);
+        const std::uint32_t connections = guard.connectionLimit();
+        const std::uint32_t slots = std::min(slotBound, connections);
+        return std::min<std::size_t>(connections - slots, slots);
+    }
+
+    GuardedTargetOptions options;
+    mutable std::mutex mutex;
+    Guard guard;
+    std::map<GuardTicket, std::shared_ptr<Waiter>> waiters;
+    GuardTicket lastTicket = 0;
+    Address address;
+    std::uint32_t slotBound = 0;
+    std::uint32_t policySlots = 0;
+    ConnectionPool<TargetConnection> idle;
+    std::shared_ptr<std::atomic<std::size_t>> openCount = std::make_shared<std::atomic<std::size_t>>(0);
+};
+
+/// A slot of the guard, from the offer until the target is done. What is left running goes on being counted.
+class GuardedTarget::Slot
+{
+public:
+    explicit Slot(std::shared_ptr<Impl> impl)
+        : m_impl(std::move(impl))
+        , m_start(m_impl->options.clock->now())
+    {
+    }
+
+    Slot(const Slot &) = delete;
+    Slot &operator=(const Slot &) = delete;
+
+    ~Slot()
+    {
+        if (m_waiter) {
+            leaveQueue();
+        } else if (m_admitted && m_connection && !m_headSeen) {
+            abandon();
+        } else if (m_admitted) {
+            m_impl->finish(m_ticket, m_outcome);
+        }
+    }
+
+    /// Asks the guard; waits in its queue if that is allowed.
+    asio::awaitable<GuardAnswer> acquire(TimePoint deadline, bool mayQueue)
+    {
+        const auto executor = co_await asio::this_coro::executor;
+        GuardAnswer answer;
+        {
+            const std::lock_guard lock(m_impl->mutex);
+            m_ticket = ++m_impl->lastTicket;
+            answer = m_impl->guard.offer({m_ticket, deadline, mayQueue}, m_impl->options.clock->now());
+            if (answer.kind == GuardAnswer::Kind::Queued) {
+                m_waiter = std::make_shared<Waiter>(executor);
+                m_impl->waiters[m_ticket] = m_waiter;
+            }
+        }
+        if (m_waiter) {
+            co_await waitInQueue(&answer);
+        }
+        m_admitted = answer.kind == GuardAnswer::Kind::Admitted;
+        m_start = m_impl->options.clock->now();
+        co_return answer;
+    }
+
+    /// Lends a connection to the slot for as long as the target works for it.
+    TargetConnection &hold(ConnectionPointer connection)
+    {
+        m_connection = std::move(connection);
+        return *m_connection;
+    }
+
+    /// Takes the connection back.
+    ConnectionPointer takeConnection()
+    {
+        return std::move(m_connection);
+    }
+
+    /// Notes the head of the answer and returns the time it took.
+    Duration headArrived(bool failed)
+    {
+        const TimePoint now = m_impl->options.clock->now();
+        m_headSeen = true;
+        m_outcome.answered = true;
+        m_outcome.failed = failed;
+        m_outcome.headLatency = now - m_start;
+        const std::lock_guard lock(m_impl->mutex);
+        m_impl->guard.headArrived(m_ticket, now);
+        return m_outcome.headLatency;
+    }
+
+    /// Notes that the target failed.
+    void failed()
+    {
+        m_outcome.failed = true;
+    }
+
+    /// Frees the slot; an answer that ended early frees it in the destructor.
+    void finish()
+    {
+        m_admitted = false;
+        m_impl->finish(m_ticket, m_outcome);
+    }
+
+private:
+    asio::awaitable<void> waitInQueue(GuardAnswer *answer)
+    {
+        while (m_waiter->result == Waiter::Result::Pending) {
+            m_waiter->timer.expires_at(asio::steady_timer::time_point::max());
+            co_await m_waiter->timer.async_wait(AsTuple);
+        }
+        const std::lock_guard lock(m_impl->mutex);
+        const bool admitted = m_waiter->result == Waiter::Result::Admitted;
+        answer->kind = admitted ? GuardAnswer::Kind::Admitted : GuardAnswer::Kind::Refused;
+        answer->refusal = admitted ? GuardRefusal::None : GuardRefusal::AtLimit;
+        m_impl->waiters.erase(m_ticket);
+        m_waiter.reset();
+    }
+
+    void leaveQueue()
+    {
+        const std::lock_guard lock(m_impl->mutex);
+        m_impl->waiters.erase(m_ticket);
+        if (m_impl->guard.withdraw(m_ticket)) {
+            return;
+        }
+        m_impl->wake(m_impl->guard.finished(m_ticket, {}, m_impl->options.clock->now()));
+    }
+
+    /// Tells the target to cancel and keeps the slot taken until the target ends its side.
+    void abandon()
+    {
+        auto wait = [](std::shared_ptr<Impl> impl, ConnectionPointer connection,
+                       GuardTicket ticket) -> asio::awaitable<void> {
+            co_await connection->cancelAndWait(impl->options.abandonBound);
+            connection.reset();
+            impl->finish(ticket, {});
+        };
+        const asio::any_io_executor executor = m_connection->executor();
+        asio::co_spawn(executor, wait(m_impl, std::move(m_connection), m_ticket), asio::detached);
+    }
+
+    std::shared_ptr<Impl> m_impl;
+    GuardTicket m_ticket = 0;
+    std::shared_ptr<Waiter> m_waiter;
+    bool m_admitted = false;
+    bool m_headSeen = false;
+    TimePoint m_start;
+    GuardOutcome m_outcome;
+    ConnectionPointer m_connection;
+};
+
+/// One exchange with the target in an admitted slot.
+class GuardedTarget::Exchange
+{
+public:
+    Exchange(Impl &impl, const RequestHead &head, BodySource &source, AnswerSink &sink, ExchangeProgress &progress)
+        : m_impl(impl)
+        , m_head(head)
+        , m_source(source)
+        , m_sink(sink)
+        , m_progress(progress)
+    {
+    }
+
+    asio::awaitable<ExchangeResult> run(Slot &slot)
+    {
+        m_executor = co_await asio::this_coro::executor;
+        const auto executor = m_executor;
+        bool fresh = m_head.bodyKind != BodyKind::None || !isSafeMethod(m_head.method);
+        for (;;) {
+            auto connection = co_await open(executor, &fresh);
+            if (!connection.ok()) {
+                co_return unreachable(slot, connection.status());
+            }
+            TargetConnection &held = slot.hold(*std::move(connection));
+            m_progress.execution = Execution::Unknown;
+            absl::Status status = co_await converse(slot, held);
+            if (status.ok()) {
+                slot.finish();
+                keep(executor, slot.takeConnection());
+                co_return m_result;
+            }
+            slot.takeConnection();
+            if (!fresh && m_progress.execution == Execution::Unknown && !m_progress.answerStarted) {
+                fresh = true;
+                continue;
+            }
+            co_return cutOff(slot, status);
+        }
+    }
+
+private:
+    /// Takes an idle connection, or opens one if a fresh one is wanted or none is idle.
+    asio::awaitable<absl::StatusOr<ConnectionPointer>> open(asio::any_io_executor executor, bool *fresh)
+    {
+        while (!*fresh) {
+            ConnectionPointer idle = m_impl.idle.take(executor);
+            if (!idle) {
+                break;
+            }
+            if (!idle->stale()) {
+                co_return idle;
+            }
+        }
+        *fresh = true;
+        Address address;
+        {
+            const std::lock_guard lock(m_impl.mutex);
+            address = m_impl.address;
+        }
+        auto socket = co_await connectTo(executor, address, ConnectTimeout);
+        if (!socket.ok()) {
+            co_return socket.status();
+        }
+        co_return std::make_unique<TargetConnection>(*std::move(socket), m_impl.openCount);
+    }
+
+    void keep(const asio::any_io_executor &executor, ConnectionPointer connection)
+    {
+        if (connection->reusable()) {
+            m_impl.idle.put(executor, std::move(connection), m_impl.idleBound());
+        }
+    }
+
+    /// Sends the request and relays the answer; OK means that the whole answer went to the sink.
+    asio::awaitable<absl::Status> converse(Slot &slot, TargetConnection &connection)
+    {
+        using namespace asio::experimental::awaitable_operators;
+        std::string host;
+        {
+            const std::lock_guard lock(m_impl.mutex);
+            host = m_impl.address.text();
+        }
+        const absl::Status sent = co_await connection.write(requestHeadText(m_head, host), m_impl.options.stallTimeout);
+        if (!sent.ok()) {
+            co_return sent;
+        }
+        if (m_head.bodyKind == BodyKind::None) {
+            co_return co_await relayAnswer(slot, connection);
+        }
+        const auto first = co_await (relayAnswer(slot, connection) || relayBody(connection));
+        co_return first.index() == 0 ? std::get<0>(first) : std::get<1>(first);
+    }
+
+    /// Relays the request body; ends only if that fails, since the answer decides when the exchange is over.
+    asio::awaitable<absl::Status> relayBody(TargetConnection &connection)
+    {
+        for (;;) {
+            auto part = co_await m_source.read();
+            if (!part.ok()) {
+                co_return part.status();
+            }
+            const bool end = part->empty();
+            std::string bytes;
+            if (m_head.bodyKind == BodyKind::Streamed) {
+                appendChunk(&bytes, *part);
+            } else {
+                bytes = *std::move(part);
+            }
+            // A target may answer before it has read the whole body, so a failed write is not yet the end.
+            const absl::Status status = co_await connection.write(std::move(bytes), m_impl.options.stallTimeout);
+            if (end || !status.ok()) {
+                co_await sleepForever();
+            }
+        }
+    }
+
+    asio::awaitable<absl::Status> relayAnswer(Slot &slot, TargetConnection &connection)
+    {
+        auto head = co_await connection.readHead(m_head.method == "HEAD");
+        if (!head.ok()) {
+            co_return head.status();
+        }
+        constexpr std::uint16_t FirstServerError = 500;
+        m_result.status = head->status;
+        m_result.headLatency = slot.headArrived(head->status >= FirstServerError);
+        m_progress.execution = Execution::Ran;
+        head->requestId = m_head.requestId;
+        head->load = load();
+        bool more = connection.hasBuffered() || connection.answerDone();
+        absl::Status status = co_await m_sink.head(*head, more ? Flush::WithNext : Flush::Now);
+        if (!status.ok()) {
+            co_return status;
+        }
+        m_progress.answerStarted = true;
+        while (!connection.answerDone()) {
+            auto part = co_await connection.readBody(m_impl.options.stallTimeout);
+            if (!part.ok()) {
+                co_return part.status();
+            }
+            if (part->empty()) {
+                continue;
+            }
+            more = connection.answerDone();
+            status = co_await m_sink.chunk(*std::move(part), more ? Flush::WithNext : Flush::Now);
+            if (!status.ok()) {
+                co_return status;
+            }
+        }
+        m_result.whole = true;
+        m_result.execution = Execution::Ran;
+        m_result.load = load();
+        co_return co_await m_sink.end(m_result.load);
+    }
+
+    LoadReport load()
+    {
+        const std::lock_guard lock(m_impl.mutex);
+        return m_impl.guard.load(m_impl.options.clock->now());
+    }
+
+    /// The connection was not made, so the request did not run.
+    ExchangeResult unreachable(Slot &slot, const absl::Status &status)
+    {
+        slot.failed();
+        m_impl.idle.clear(m_executor);
+        const std::lock_guard lock(m_impl.mutex);
+        m_impl.guard.suspectRestart(m_impl.options.clock->now());
+        m_result.execution = Execution::NotRun;
+        m_result.status = 503;
+        m_result.reason = std::string(status.message());
+        m_result.unreachable = true;
+        return m_result;
+    }
+
+    ExchangeResult cutOff(Slot &slot, const absl::Status &status)
+    {
+        m_result.whole = false;
+        m_result.execution = m_progress.execution;
+        m_result.reason = std::string(status.message());
+        if (status.code() == absl::StatusCode::kAborted) {
+            return m_result;
+        }
+        slot.failed();
+        m_result.status = 502;
+        m_result.unreachable = true;
+        const std::lock_guard lock(m_impl.mutex);
+        m_impl.guard.suspectRestart(m_impl.options.clock->now());
+        return m_result;
+    }
+
+    Impl &m_impl;
+    const RequestHead &m_head;
+    BodySource &m_source;
+    AnswerSink &m_sink;
+    ExchangeProgress &m_progress;
+    ExchangeResult m_result;
+    asio::any_io_executor m_executor;
+};
+
+GuardedTarget::GuardedTarget(GuardedTargetOptions options)
+    : m_impl(std::make_shared<Impl>(std::move(options)))
+{
+}
+
+GuardedTarget::~GuardedTarget() = default;
+
+void GuardedTarget::announced(const TargetAnnouncement &announcement, const Address &address)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->address = address;
+    m_impl->slotBound = std::max(m_impl->policySlots, announcement.slots);
+    m_impl->wake(m_impl->guard.announced(announcement, m_impl->options.clock->now()));
+}
+
+void GuardedTarget::announcementEnded()
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->wake(m_impl->guard.announcementEnded(m_impl->options.clock->now()));
+}
+
+void GuardedTarget::setPolicy(const GuardPolicy &policy)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->policySlots = policy.slots;
+    m_impl->slotBound = std::max(m_impl->slotBound, policy.slots);
+    m_impl->wake(m_impl->guard.setPolicy(policy, m_impl->options.clock->now()));
+}
+
+void GuardedTarget::tick()
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->wake(m_impl->guard.tick(m_impl->options.clock->now()));
+}
+
+LoadReport GuardedTarget::load() const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    return m_impl->guard.load(m_impl->options.clock->now());
+}
+
+std::size_t GuardedTarget::openConnections() const
+{
+    return m_impl->openCount->load();
+}
+
+asio::awaitable<ExchangeResult> GuardedTarget::run(const RequestHead &head, BodySource &source, AnswerSink &sink,
+                                                   ExchangeProgress &progress, TimePoint deadline)
+{
+    // Holding on to the implementation lets a cancelled exchange outlive this object.
+    const std::shared_ptr<Impl> impl = m_impl;
+    Slot slot(impl);
+    const GuardAnswer answer = co_await slot.acquire(deadline, head.mayQueue);
+    ExchangeResult result;
+    if (answer.kind != GuardAnswer::Kind::Admitted) {
+        if (impl->options.onRefusal) {
+            impl->options.onRefusal(answer.refusal);
+        }
+        result = refusalResult(answer);
+    } else {
+        if (head.bodyKind != BodyKind::None) {
+            const absl::Status status = co_await sink.admitted(load());
+            if (!status.ok()) {
+                co_return result;
+            }
+        }
+        Exchange exchange(*impl, head, source, sink, progress);
+        result = co_await exchange.run(slot);
+    }
+    result.reported = true;
+    result.load = load();
+    co_return result;
+}
+
+}
--- /dev/null
+++ b/src/net/httpfields.cpp
@@ -0,0 +1,260 @@
+#include "net/httpfields.h"
+
+#include "base/text.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <boost/beast/http/rfc7230.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace shallotrelay
+{
+namespace
+{
+
+using CaseFreeSet = std::set<std::string, boost::beast::iless>;
+
+/// Returns the fields that the Connection field names, which end at this hop.
+CaseFreeSet connectionFields(const http::fields &fields)
+{
+    CaseFreeSet out;
+    const auto range = fields.equal_range(http::field::connection);
+    for (auto it = range.first; it != range.second; ++it) {
+        for (const auto &token : http::token_list{it->value()}) {
+            out.insert(std::string(token));
+        }
+    }
+    return out;
+}
+
+bool isHopByHop(http::field name)
+{
+    switch (name) {
+    case http::field::connection:
+    case http::field::proxy_connection:
+    case http::field::keep_alive:
+    case http::field::transfer_encoding:
+    case http::field::content_length:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::upgrade:
+    case http::field::expect:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+        return true;
+    default:
+        return false;
+    }
+}
+
+absl::StatusOr<ServiceId> checkedService(std::string_view firm, std::string_view service)
+{
+    const ServiceId out{absl::AsciiStrToLower(toAbsl(firm)), absl::AsciiStrToLower(toAbsl(service))};
+    if (!checkName(out.firm).ok() || !checkName(out.service).ok()) {
+        return absl::NotFoundError("the request names no service");
+    }
+    return out;
+}
+
+absl::StatusOr<ServicePath> fromPathPrefix(std::string_view target)
+{
+    std::string_view rest = target.substr(ServicePathPrefix.size());
+    const std::size_t firmEnd = rest.find('/');
+    if (firmEnd == std::string_view::npos) {
+        return absl::NotFoundError("the path must be /s/FIRM/SERVICE/REST");
+    }
+    const std::string_view firm = rest.substr(0, firmEnd);
+    rest.remove_prefix(firmEnd + 1);
+    const std::size_t serviceEnd = std::min(rest.find_first_of("/?"), rest.size());
+    const auto service = checkedService(firm, rest.substr(0, serviceEnd));
+    if (!service.ok()) {
+        return service.status();
+    }
+    std::string path(rest.substr(serviceEnd));
+    if (path.empty() || path.front() != '/') {
+        path = "/" + path;
+    }
+    return ServicePath{*service, path};
+}
+
+absl::StatusOr<ServicePath> fromHost(std::string_view target, std::string_view host)
+{
+    const std::string_view name = host.substr(0, host.find(':'));
+    const std::size_t serviceEnd = name.find('.');
+    if (serviceEnd == std::string_view::npos) {
+        return absl::NotFoundError("the Host field must read SERVICE.FIRM, or the path must be /s/FIRM/SERVICE/REST");
+    }
+    std::string_view firm = name.substr(serviceEnd + 1);
+    firm = firm.substr(0, firm.find('.'));
+    const auto service = checkedService(firm, name.substr(0, serviceEnd));
+    if (!service.ok()) {
+        return service.status();
+    }
+    return ServicePath{*service, std::string(target)};
+}
+
+/// Tells whether the only transfer coding is "chunked", which is all that the relay can forward faithfully.
+bool hasPlainTransferCoding(const http::request_header<> &head)
+{
+    const auto range = head.equal_range(http::field::transfer_encoding);
+    for (auto it = range.first; it != range.second; ++it) {
+        if (!boost::beast::iequals(it->value(), "chunked")) {
+            return false;
+        }
+    }
+    return std::distance(range.first, range.second) <= 1;
+}
+
+bool asksForOtherProtocol(const http::request_header<> &head)
+{
+    const auto upgrade = head[http::field::upgrade];
+    return !upgrade.empty() && !boost::beast::iequals(upgrade, "h2c");
+}
+
+void setFields(const std::vector<HeaderField> &from, http::fields *to)
+{
+    for (const HeaderField &it : from) {
+        to->insert(it.name, it.value);
+    }
+}
+
+template<class Head>
+std::string textOf(const Head &head)
+{
+    std::ostringstream out;
+    out << head;
+    return out.str();
+}
+
+}
+
+absl::StatusOr<ServicePath> findServicePath(std::string_view target, std::string_view host)
+{
+    if (target.substr(0, ServicePathPrefix.size()) == ServicePathPrefix) {
+        return fromPathPrefix(target);
+    }
+    return fromHost(target, host);
+}
+
+absl::Status checkRequestHead(const http::request_header<> &head)
+{
+    const auto hosts = head.count(http::field::host);
+    if (hosts > 1 || (head.version() >= 11 && hosts == 0)) {
+        return absl::InvalidArgumentError("the request must have one Host field");
+    }
+    if (head.version() != 10 && head.version() != 11) {
+        return absl::InvalidArgumentError("the request must be HTTP/1.0 or HTTP/1.1");
+    }
+    if (!hasPlainTransferCoding(head)) {
+        return absl::UnimplementedError("the only transfer coding that is supported is chunked");
+    }
+    if (head.version() == 10 && head.count(http::field::transfer_encoding) > 0) {
+        return absl::InvalidArgumentError("an HTTP/1.0 request must not have a transfer coding");
+    }
+    if (head.method() == http::verb::connect || asksForOtherProtocol(head)) {
+        return absl::UnimplementedError("tunnels and upgrades are not supported");
+    }
+    if (head.target().empty() || head.target().front() != '/') {
+        return absl::InvalidArgumentError("the request target must start with a slash");
+    }
+    const auto expect = head[http::field::expect];
+    if (!expect.empty() && !boost::beast::iequals(expect, "100-continue")) {
+        return absl::FailedPreconditionError("the only expectation that is supported is 100-continue");
+    }
+    return absl::OkStatus();
+}
+
+std::vector<HeaderField> endToEndFields(const http::fields &fields)
+{
+    const CaseFreeSet named = connectionFields(fields);
+    std::vector<HeaderField> out;
+    for (const auto &it : fields) {
+        const std::string name(it.name_string());
+        const bool own = boost::beast::iequals(name, ExecutionHeader) || boost::beast::iequals(name, DeadlineHeader);
+        if (isHopByHop(it.name()) || own || named.contains(name)) {
+            continue;
+        }
+        out.push_back({name, std::string(it.value())});
+    }
+    return out;
+}
+
+absl::StatusOr<std::optional<Duration>> requestedDeadline(const http::fields &fields)
+{
+    const auto it = fields.find(std::string(DeadlineHeader));
+    if (it == fields.end()) {
+        return std::optional<Duration>();
+    }
+    std::uint32_t ms = 0;
+    if (!absl::SimpleAtoi(absl::string_view(it->value().data(), it->value().size()), &ms) || ms == 0) {
+        return absl::InvalidArgumentError(fmt::format("{} must be a whole number above 0", DeadlineHeader));
+    }
+    return std::optional<Duration>(std::chrono::milliseconds(ms));
+}
+
+std::string_view findField(const std::vector<HeaderField> &fields, std::string_view name)
+{
+    for (const HeaderField &it : fields) {
+        if (boost::beast::iequals(it.name, name)) {
+            return it.value;
+        }
+    }
+    return {};
+}
+
+std::string requestHeadText(const RequestHead &head, std::string_view host)
+{
+    http::request_header<> out;
+    out.version(11);
+    out.method_string(head.method);
+    out.target(head.path);
+    setFields(head.headers, &out);
+    if (findField(head.headers, "Host").empty()) {
+        out.set(http::field::host, host);
+    }
+    out.set(RequestIdHeader, head.requestId);
+    out.set(DeadlineHeader, std::to_string(head.timeLeftMs));
+    if (head.bodyKind == BodyKind::Sized) {
+        out.set(http::field::content_length, std::to_string(head.contentLength));
+    }
+    if (head.bodyKind == BodyKind::Streamed) {
+        out.set(http::field::transfer_encoding, "chunked");
+    }
+    return textOf(out);
+}
+
+std::string responseHeadText(const ResponseHead &head, unsigned version, bool keepAlive, bool chunked)
+{
+    http::response_header<> out;
+    out.version(version);
+    out.result(head.status);
+    out.reason(head.reason);
+    setFields(head.headers, &out);
+    if (head.bodyKind == BodyKind::Sized) {
+        out.set(http::field::content_length, std::to_string(head.contentLength));
+    }
+    if (chunked) {
+        out.set(http::field::transfer_encoding, "chunked");
+    }
+    if (!keepAlive) {
+        out.set(http::field::connection, "close");
+    } else if (version == 10) {
+        out.set(http::field::connection, "keep-alive");
+    }
+    return textOf(out);
+}
+
+void appendChunk(std::string *out, std::string_view data)
+{
+    out->append(fmt::format("{:x}\r\n", data.size()));
+    out->append(data);
+    out->append("\r\n");
+}
+
+}
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,191 @@
+#include "net/httpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+
+namespace shallotrelay
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+
+constexpr Duration RequestTimeout = std::chrono::seconds(30);
+constexpr std::size_t MaxReplyBytes = 64 * 1024 * 1024;
+constexpr unsigned Http11 = 11;
+
+HttpRequest toRequest(const http::request<http::string_body> &message)
+{
+    HttpRequest out;
+    out.method = std::string(message.method_string());
+    const std::string target(message.target());
+    const std::size_t mark = target.find('?');
+    out.path = target.substr(0, mark);
+    out.query = mark == std::string::npos ? "" : target.substr(mark + 1);
+    out.body = message.body();
+    return out;
+}
+
+http::response<http::string_body> toMessage(const HttpReply &reply, bool keepAlive)
+{
+    http::response<http::string_body> out(static_cast<http::status>(reply.status), Http11);
+    out.set(http::field::content_type, reply.contentType);
+    out.keep_alive(keepAlive);
+    out.body() = reply.body;
+    out.prepare_payload();
+    return out;
+}
+
+}
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+    Impl(Runtime &r, std::size_t maxBody, Handler h)
+        : runtime(r)
+        , maxBodyBytes(maxBody)
+        , handler(std::move(h))
+    {
+    }
+
+    Runtime &runtime;
+    std::size_t maxBodyBytes;
+    Handler handler;
+    std::unique_ptr<tcp::acceptor> acceptor;
+    std::uint16_t port = 0;
+
+    static asio::awaitable<void> acceptAll(std::shared_ptr<Impl> self)
+    {
+        for (;;) {
+            asio::io_context &loop = self->runtime.next();
+            auto [ec, socket] = co_await self->acceptor->async_accept(loop, AsTuple);
+            if (ec == asio::error::operation_aborted) {
+                co_return;
+            }
+            if (!ec) {
+                asio::co_spawn(loop, serve(self, std::move(socket)), asio::detached);
+            } else {
+                co_await sleepFor(std::chrono::milliseconds(10));
+            }
+        }
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
+    {
+        boost::beast::tcp_stream stream(std::move(socket));
+        boost::beast::flat_buffer buffer;
+        bool goOn = true;
+        while (goOn) {
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(self->maxBodyBytes);
+            stream.expires_after(RequestTimeout);
+            const auto [ec, n] = co_await http::async_read(stream, buffer, parser, AsTuple);
+            if (ec == http::error::body_limit) {
+                const auto message = toMessage({413, "text/plain", "the body is too large\n"}, false);
+                co_await http::async_write(stream, message, AsTuple);
+            }
+            if (ec) {
+                break;
+            }
+            goOn = parser.get().keep_alive();
+            HttpRequest request = toRequest(parser.get());
+            const HttpReply reply = co_await self->handler(std::move(request));
+            const auto message = toMessage(reply, goOn);
+            const auto [writeError, m] = co_await http::async_write(stream, message, AsTuple);
+            goOn = goOn && !writeError;
+        }
+        boost::system::error_code ignored;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+};
+
+HttpServer::HttpServer(Runtime &runtime, std::size_t maxBodyBytes, Handler handler)
+    : m_impl(std::make_shared<Impl>(runtime, maxBodyBytes, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+absl::Status HttpServer::start(const Address &address)
+{
+    asio::io_context &loop = m_impl->runtime.shard(0);
+    auto acceptor = listenOn(loop, address);
+    if (!acceptor.ok()) {
+        return acceptor.status();
+    }
+    m_impl->port = acceptor->local_endpoint().port();
+    m_impl->acceptor = std::make_unique<tcp::acceptor>(*std::move(acceptor));
+    asio::co_spawn(loop, Impl::acceptAll(m_impl), asio::detached);
+    return absl::OkStatus();
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return m_impl->port;
+}
+
+void HttpServer::stop()
+{
+    asio::post(m_impl->runtime.shard(0), [impl = m_impl] {
+        if (impl->acceptor) {
+            impl->acceptor->close();
+        }
+    });
+}
+
+asio::awaitable<absl::StatusOr<HttpReply>> httpCall(Address address, HttpRequest request, Duration timeout)
+{
+    auto socket = co_await connectTo(co_await asio::this_coro::executor, address, timeout);
+    if (!socket.ok()) {
+        co_return socket.status();
+    }
+    boost::beast::tcp_stream stream(*std::move(socket));
+    http::request<http::string_body> message;
+    message.version(Http11);
+    message.method_string(request.method);
+    message.target(request.query.empty() ? request.path : request.path + "?" + request.query);
+    message.set(http::field::host, address.text());
+    message.keep_alive(false);
+    message.body() = request.body;
+    message.prepare_payload();
+    stream.expires_after(timeout);
+    const auto [writeError, n] = co_await http::async_write(stream, message, AsTuple);
+    if (writeError) {
+        co_return toStatus(writeError, "write to " + address.text());
+    }
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MaxReplyBytes);
+    const auto [readError, m] = co_await http::async_read(stream, buffer, parser, AsTuple);
+    if (readError) {
+        co_return toStatus(readError, "read from " + address.text());
+    }
+    HttpReply reply;
+    reply.status = static_cast<std::uint16_t>(parser.get().result_int());
+    reply.contentType = std::string(parser.get()[http::field::content_type]);
+    reply.body = parser.get().body();
+    co_return reply;
+}
+
+absl::StatusOr<HttpReply> blockingHttpCall(const Address &address, const HttpRequest &request, Duration timeout)
+{
+    asio::io_context loop(1);
+    std::optional<absl::StatusOr<HttpReply>> result;
+    auto call = [&]() -> asio::awaitable<void> { result = co_await httpCall(address, request, timeout); };
+    asio::co_spawn(loop, call(), asio::detached);
+    loop.run();
+    return *std::move(result);
+}
+
+}
--- /dev/null
+++ b/src/net/neterror.cpp
@@ -0,0 +1,95 @@
+#include "net/neterror.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/core/error.hpp>
+#include <fmt/format.h>
+
+#include <sys/socket.h>
+
+namespace shallotrelay
+{
+
+absl::Status toStatus(const boost::system::error_code &ec, std::string_view what)
+{
+    if (!ec) {
+        return absl::OkStatus();
+    }
+    const std::string text = fmt::format("{}: {}", what, ec.message());
+    if (ec == asio::error::operation_aborted) {
+        return absl::CancelledError(text);
+    }
+    if (ec == boost::beast::error::timeout || ec == asio::error::timed_out) {
+        return absl::DeadlineExceededError(text);
+    }
+    return absl::UnavailableError(text);
+}
+
+tcp::endpoint toEndpoint(const Address &address)
+{
+    return {asio::ip::make_address(address.host), address.port};
+}
+
+absl::StatusOr<tcp::acceptor> listenOn(asio::io_context &loop, const Address &address)
+{
+    const tcp::endpoint endpoint = toEndpoint(address);
+    tcp::acceptor acceptor(loop);
+    boost::system::error_code ec;
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return absl::UnavailableError(fmt::format("cannot listen on {}: {}", address.text(), ec.message()));
+    }
+    return acceptor;
+}
+
+asio::awaitable<absl::StatusOr<tcp::socket>> connectTo(asio::any_io_executor executor, Address address,
+                                                       Duration timeout)
+{
+    using namespace asio::experimental::awaitable_operators;
+    tcp::socket socket(executor);
+    const auto attempt = co_await (socket.async_connect(toEndpoint(address), AsTuple) || sleepFor(timeout));
+    if (attempt.index() == 1) {
+        co_return absl::DeadlineExceededError("connect to " + address.text() + ": timed out");
+    }
+    const auto [ec] = std::get<0>(attempt);
+    if (ec) {
+        co_return toStatus(ec, "connect to " + address.text());
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    co_return socket;
+}
+
+asio::awaitable<void> sleepFor(Duration span)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(span));
+    co_await timer.async_wait(AsTuple);
+}
+
+asio::awaitable<void> sleepForever()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_at(asio::steady_timer::time_point::max());
+    co_await timer.async_wait(AsTuple);
+}
+
+bool isStale(tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t n = ::recv(socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    const bool quiet = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return !quiet;
+}
+
+}
--- /dev/null
+++ b/src/net/peerlink.cpp
@@ -0,0 +1,281 @@
+#include "net/connectionpool.h"
+#include "net/framestream.h"
+#include "net/peerprotocol.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace shallotrelay
+{
+namespace
+{
+
+using StreamPointer = std::unique_ptr<FrameStream>;
+
+constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+constexpr std::size_t MaxIdleLinks = 32;
+/// The other node shows a sign of life far more often than this while an exchange is in progress.
+constexpr Duration SilenceBound = std::chrono::seconds(2);
+
+}
+
+struct PeerLink::Impl {
+    Address address;
+    const Clock &clock;
+    Duration stallTimeout;
+    ConnectionPool<FrameStream> idle;
+};
+
+/// One exchange on one connection.
+class PeerLink::Exchange
+{
+public:
+    Exchange(Impl &impl, const RequestHead &head, BodySource &source, AnswerSink &sink, ExchangeProgress &progress)
+        : m_impl(impl)
+        , m_head(head)
+        , m_source(source)
+        , m_sink(sink)
+        , m_progress(progress)
+        , m_start(impl.clock.now())
+    {
+    }
+
+    asio::awaitable<ExchangeResult> run()
+    {
+        m_executor = co_await asio::this_coro::executor;
+        auto stream = co_await open();
+        if (!stream.ok()) {
+            m_result.status = 503;
+            m_result.reason = std::string(stream.status().message());
+            m_result.unreachable = true;
+            co_return m_result;
+        }
+        const absl::Status status = co_await converse(**stream);
+        if (m_finished) {
+            keep(*std::move(stream));
+        } else {
+            m_result.whole = false;
+            m_result.execution = m_progress.execution;
+            m_result.reason = std::string(status.message());
+            m_result.status = m_result.status == 0 || m_result.status < 500 ? 502 : m_result.status;
+            m_result.unreachable = status.code() != absl::StatusCode::kAborted;
+        }
+        co_return m_result;
+    }
+
+private:
+    asio::awaitable<absl::StatusOr<StreamPointer>> open()
+    {
+        while (StreamPointer idle = m_impl.idle.take(m_executor)) {
+            if (!idle->stale()) {
+                co_return idle;
+            }
+        }
+        auto socket = co_await connectTo(m_executor, m_impl.address, ConnectTimeout);
+        if (!socket.ok()) {
+            co_return socket.status();
+        }
+        co_return std::make_unique<FrameStream>(*std::move(socket), MaxExchangePayloadBytes);
+    }
+
+    void keep(StreamPointer stream)
+    {
+        const bool bodySent = m_head.bodyKind == BodyKind::None || m_bodySent;
+        if (bodySent) {
+            m_impl.idle.put(m_executor, std::move(stream), MaxIdleLinks);
+        }
+    }
+
+    asio::awaitable<absl::Status> converse(FrameStream &stream)
+    {
+        using namespace asio::experimental::awaitable_operators;
+        stream.queue(m_head);
+        m_progress.execution = Execution::Unknown;
+        if (const absl::Status status = co_await stream.flush(); !status.ok()) {
+            co_return status;
+        }
+        if (m_head.bodyKind == BodyKind::None) {
+            co_return co_await relayAnswer(stream);
+        }
+        if (const absl::Status status = co_await waitForAdmission(stream); !status.ok() || m_finished) {
+            co_return status;
+        }
+        const auto first = co_await (relayAnswer(stream) || relayBody(stream));
+        co_return first.index() == 0 ? std::get<0>(first) : std::get<1>(first);
+    }
+
+    /// The body follows only once the guard admitted the request, so that a refused request can be offered elsewhere.
+    asio::awaitable<absl::Status> waitForAdmission(FrameStream &stream)
+    {
+        for (;;) {
+            const auto frame = co_await stream.read(SilenceBound);
+            if (!frame.ok()) {
+                co_return frame.status();
+            }
+            if (frame->type == Waiting::FrameType) {
+                continue;
+            }
+            if (frame->type == Refusal::FrameType) {
+                co_return takeRefusal(*frame);
+            }
+            const auto admitted = decodeAs<Admitted>(*frame);
+            co_return admitted.status();
+        }
+    }
+
+    asio::awaitable<absl::Status> relayBody(FrameStream &stream)
+    {
+        for (;;) {
+            auto part = co_await m_source.read();
+            if (!part.ok()) {
+                co_return part.status();
+            }
+            if (part->empty()) {
+                stream.queue(BodyEnd{m_head.requestId, {}});
+            } else {
+                stream.queue(BodyChunk{*std::move(part)});
+            }
+            const absl::Status status = co_await stream.flush();
+            m_bodySent = m_source.atEnd() && status.ok();
+            if (m_source.atEnd() || !status.ok()) {
+                co_await sleepForever();
+            }
+        }
+    }
+
+    asio::awaitable<absl::Status> relayAnswer(FrameStream &stream)
+    {
+        for (;;) {
+            const Duration idle = m_progress.answerStarted ? m_impl.stallTimeout : SilenceBound;
+            const auto frame = co_await stream.read(idle);
+            if (!frame.ok()) {
+                co_return frame.status();
+            }
+            const absl::Status status = co_await takeFrame(*frame, stream.buffered() ? Flush::WithNext : Flush::Now);
+            if (!status.ok() || m_finished) {
+                co_return status;
+            }
+        }
+    }
+
+    asio::awaitable<absl::Status> takeFrame(const Frame &frame, Flush flush)
+    {
+        switch (frame.type) {
+        case Waiting::FrameType:
+            co_return absl::OkStatus();
+        case ResponseHead::FrameType:
+            co_return co_await takeHead(frame, flush);
+        case BodyChunk::FrameType:
+            co_return co_await takeChunk(frame, flush);
+        case BodyEnd::FrameType:
+            co_return co_await takeEnd(frame);
+        case Refusal::FrameType:
+            co_return takeRefusal(frame);
+        default:
+            co_return absl::InvalidArgumentError("the other node sent a frame of an unexpected type");
+        }
+    }
+
+    asio::awaitable<absl::Status> takeHead(const Frame &frame, Flush flush)
+    {
+        auto head = decodeAs<ResponseHead>(frame);
+        if (!head.ok()) {
+            co_return head.status();
+        }
+        if (head->requestId != m_head.requestId || m_progress.answerStarted) {
+            co_return absl::InvalidArgumentError("the other node answered another request");
+        }
+        m_progress.execution = Execution::Ran;
+        m_result.status = head->status;
+        m_result.headLatency = m_impl.clock.now() - m_start;
+        takeLoad(head->load);
+        const absl::Status status = co_await m_sink.head(*head, flush);
+        m_progress.answerStarted = status.ok();
+        co_return status;
+    }
+
+    asio::awaitable<absl::Status> takeChunk(const Frame &frame, Flush flush)
+    {
+        auto chunk = decodeAs<BodyChunk>(frame);
+        if (!chunk.ok()) {
+            co_return chunk.status();
+        }
+        if (!m_progress.answerStarted) {
+            co_return absl::InvalidArgumentError("the other node sent a body before its head");
+        }
+        co_return co_await m_sink.chunk(std::move(chunk->data), flush);
+    }
+
+    asio::awaitable<absl::Status> takeEnd(const Frame &frame)
+    {
+        const auto end = decodeAs<BodyEnd>(frame);
+        if (!end.ok()) {
+            co_return end.status();
+        }
+        if (end->requestId != m_head.requestId || !m_progress.answerStarted) {
+            co_return absl::InvalidArgumentError("the other node ended another answer");
+        }
+        takeLoad(end->load);
+        m_result.execution = Execution::Ran;
+        const absl::Status status = co_await m_sink.end(end->load);
+        m_result.whole = status.ok();
+        m_finished = status.ok();
+        co_return status;
+    }
+
+    absl::Status takeRefusal(const Frame &frame)
+    {
+        const auto refusal = decodeAs<Refusal>(frame);
+        if (!refusal.ok()) {
+            return refusal.status();
+        }
+        if (refusal->requestId != m_head.requestId) {
+            return absl::InvalidArgumentError("the other node refused another request");
+        }
+        if (m_progress.answerStarted) {
+            return absl::UnavailableError("the answer was cut off: " + refusal->reason);
+        }
+        m_progress.execution = refusal->execution;
+        m_result.execution = refusal->execution;
+        m_result.status = refusal->status;
+        m_result.reason = refusal->reason;
+        m_result.retryAfter = std::chrono::milliseconds(refusal->retryAfterMs);
+        m_result.unreachable = refusal->targetFailed;
+        takeLoad(refusal->load);
+        m_finished = true;
+        return absl::OkStatus();
+    }
+
+    void takeLoad(const LoadReport &load)
+    {
+        m_result.load = load;
+        m_result.reported = true;
+    }
+
+    Impl &m_impl;
+    const RequestHead &m_head;
+    BodySource &m_source;
+    AnswerSink &m_sink;
+    ExchangeProgress &m_progress;
+    TimePoint m_start;
+    ExchangeResult m_result;
+    asio::any_io_executor m_executor;
+    bool m_bodySent = false;
+    bool m_finished = false;
+};
+
+PeerLink::PeerLink(Address address, const Clock &clock, Duration stallTimeout)
+    : m_impl(new Impl{std::move(address), clock, stallTimeout, {}})
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+asio::awaitable<ExchangeResult> PeerLink::run(const RequestHead &head, BodySource &source, AnswerSink &sink,
+                                              ExchangeProgress &progress, TimePoint)
+{
+    Exchange exchange(*m_impl, head, source, sink, progress);
+    co_return co_await exchange.run();
+}
+
+}
--- /dev/null
+++ b/src/net/peerserver.cpp
@@ -0,0 +1,326 @@
+#include "net/framestream.h"
+#include "net/peerprotocol.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <atomic>
+
+namespace shallotrelay
+{
+namespace
+{
+
+/// How often an exchange shows a sign of life while its answer is not ready.
+constexpr Duration WaitingInterval = std::chrono::milliseconds(200);
+constexpr Duration IdleLinkBound = std::chrono::minutes(5);
+constexpr std::size_t FlushBytes = 256 * 1024;
+
+/// Reads a request body from frames.
+class FrameBodySource : public BodySource
+{
+public:
+    FrameBodySource(FrameStream &stream, const RequestHead &head, Duration timeout)
+        : m_stream(stream)
+        , m_head(head)
+        , m_timeout(timeout)
+        , m_atEnd(head.bodyKind == BodyKind::None)
+        , m_ended(m_stream.executor())
+    {
+    }
+
+    asio::awaitable<absl::StatusOr<std::string>> read() override
+    {
+        if (m_atEnd) {
+            co_return std::string();
+        }
+        const auto frame = co_await m_stream.read(m_timeout);
+        if (!frame.ok()) {
+            co_return frame.status();
+        }
+        if (frame->type == BodyEnd::FrameType) {
+            const auto end = decodeAs<BodyEnd>(*frame);
+            m_atEnd = end.ok();
+            m_ended.cancel();
+            co_return end.ok() ? absl::StatusOr<std::string>(std::string()) : end.status();
+        }
+        auto chunk = decodeAs<BodyChunk>(*frame);
+        if (!chunk.ok()) {
+            co_return chunk.status();
+        }
+        if (chunk->data.empty()) {
+            co_return absl::InvalidArgumentError("an empty part of a body");
+        }
+        co_return std::move(chunk->data);
+    }
+
+    bool waitsForAdmission() const override
+    {
+        return false;
+    }
+
+    bool atEnd() const override
+    {
+        return m_atEnd;
+    }
+
+    /// Returns once the whole body was read.
+    asio::awaitable<void> waitForEnd()
+    {
+        while (!m_atEnd) {
+            m_ended.expires_at(asio::steady_timer::time_point::max());
+            co_await m_ended.async_wait(AsTuple);
+        }
+    }
+
+private:
+    FrameStream &m_stream;
+    const RequestHead &m_head;
+    Duration m_timeout;
+    bool m_atEnd;
+    asio::steady_timer m_ended;
+};
+
+/// Writes an answer as frames.
+class FrameAnswerSink : public AnswerSink
+{
+public:
+    FrameAnswerSink(FrameStream &stream, std::string requestId)
+        : m_stream(stream)
+        , m_requestId(std::move(requestId))
+    {
+    }
+
+    asio::awaitable<absl::Status> head(const ResponseHead &head, Flush flush) override
+    {
+        m_started = true;
+        m_stream.queue(head);
+        co_return co_await flushIf(flush == Flush::Now);
+    }
+
+    asio::awaitable<absl::Status> chunk(std::string data, Flush flush) override
+    {
+        m_queued += data.size();
+        m_stream.queue(BodyChunk{std::move(data)});
+        co_return co_await flushIf(flush == Flush::Now || m_queued >= FlushBytes);
+    }
+
+    asio::awaitable<absl::Status> end(const LoadReport &load) override
+    {
+        m_stream.queue(BodyEnd{m_requestId, load});
+        co_return co_await flushIf(true);
+    }
+
+    asio::awaitable<absl::Status> admitted(const LoadReport &load) override
+    {
+        m_stream.queue(Admitted{m_requestId, load});
+        co_return co_await m_stream.flush();
+    }
+
+    /// Notes that the exchange is about to end without an answer.
+    void close()
+    {
+        m_closed = true;
+    }
+
+    /// Returns whether signs of life are no longer wanted.
+    bool closed() const
+    {
+        return m_started || m_closed;
+    }
+
+    /// Returns whether the head of the answer went out.
+    bool started() const
+    {
+        return m_started;
+    }
+
+private:
+    asio::awaitable<absl::Status> flushIf(bool now)
+    {
+        if (!now) {
+            co_return absl::OkStatus();
+        }
+        m_queued = 0;
+        co_return co_await m_stream.flush();
+    }
+
+    FrameStream &m_stream;
+    std::string m_requestId;
+    std::size_t m_queued = 0;
+    bool m_started = false;
+    bool m_closed = false;
+};
+
+Refusal toRefusal(const RequestHead &head, const ExchangeResult &result)
+{
+    Refusal refusal;
+    refusal.requestId = head.requestId;
+    refusal.execution = result.execution;
+    refusal.status = result.status;
+    refusal.reason = result.reason;
+    refusal.retryAfterMs = toWholeMilliseconds(result.retryAfter);
+    refusal.targetFailed = result.unreachable;
+    refusal.load = result.load;
+    return refusal;
+}
+
+}
+
+struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl> {
+    Impl(Runtime &r, const Clock &c, Duration stall, FindTarget find)
+        : runtime(r)
+        , clock(c)
+        , stallTimeout(stall)
+        , findTarget(std::move(find))
+    {
+    }
+
+    Runtime &runtime;
+    const Clock &clock;
+    Duration stallTimeout;
+    FindTarget findTarget;
+    std::unique_ptr<tcp::acceptor> acceptor;
+    std::uint16_t port = 0;
+    std::atomic<std::size_t> inProgress = 0;
+
+    asio::awaitable<void> acceptAll()
+    {
+        for (;;) {
+            asio::io_context &loop = runtime.next();
+            auto [ec, socket] = co_await acceptor->async_accept(loop, AsTuple);
+            if (ec == asio::error::operation_aborted) {
+                co_return;
+            }
+            if (ec) {
+                co_await sleepFor(std::chrono::milliseconds(10));
+                continue;
+            }
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
+    {
+        FrameStream stream(std::move(socket), MaxExchangePayloadBytes);
+        for (;;) {
+            const auto frame = co_await stream.read(IdleLinkBound);
+            if (!frame.ok()) {
+                co_return;
+            }
+            const auto head = decodeAs<RequestHead>(*frame);
+            if (!head.ok()) {
+                co_return;
+            }
+            ++self->inProgress;
+            const bool clean = co_await self->serveOne(stream, *head);
+            --self->inProgress;
+            if (!clean) {
+                co_return;
+            }
+        }
+    }
+
+    /// Serves one exchange and returns whether the connection can carry another one.
+    asio::awaitable<bool> serveOne(FrameStream &stream, const RequestHead &head)
+    {
+        using namespace asio::experimental::awaitable_operators;
+        FrameBodySource source(stream, head, stallTimeout);
+        FrameAnswerSink sink(stream, head.requestId);
+        const auto first = co_await (runAndAnswer(stream, head, source, sink) || keepAlive(stream, head, sink)
+                                     || watchForClose(stream, source));
+        co_return first.index() == 0 && std::get<0>(first);
+    }
+
+    asio::awaitable<bool> runAndAnswer(FrameStream &stream, const RequestHead &head, FrameBodySource &source,
+                                       FrameAnswerSink &sink)
+    {
+        ExchangeResult result;
+        const std::shared_ptr<Backend> backend = findTarget(head);
+        if (backend) {
+            ExchangeProgress progress;
+            const TimePoint deadline = clock.now() + std::chrono::milliseconds(head.timeLeftMs);
+            result = co_await backend->run(head, source, sink, progress, deadline);
+        } else {
+            result.status = 503;
+            result.reason = "absent";
+        }
+        if (result.whole) {
+            co_return source.atEnd();
+        }
+        sink.close();
+        stream.queue(toRefusal(head, result));
+        const absl::Status status = co_await stream.flush();
+        const bool bodyAhead = head.bodyKind != BodyKind::None && result.execution != Execution::NotRun;
+        co_return status.ok() && !sink.started() && !bodyAhead;
+    }
+
+    /// Shows signs of life until the answer starts; it never ends by itself.
+    asio::awaitable<void> keepAlive(FrameStream &stream, const RequestHead &head, const FrameAnswerSink &sink)
+    {
+        for (;;) {
+            co_await sleepFor(WaitingInterval);
+            if (!sink.closed()) {
+                stream.queue(Waiting{head.requestId, {}});
+                co_await stream.flush();
+            }
+        }
+    }
+
+    /// Ends once the other node has given the exchange up.
+    asio::awaitable<void> watchForClose(FrameStream &stream, FrameBodySource &source)
+    {
+        co_await source.waitForEnd();
+        co_await stream.waitForClose();
+    }
+};
+
+PeerServer::PeerServer(Runtime &runtime, const Clock &clock, Duration stallTimeout, FindTarget findTarget)
+    : m_impl(std::make_shared<Impl>(runtime, clock, stallTimeout, std::move(findTarget)))
+{
+}
+
+PeerServer::~PeerServer()
+{
+    stopAccepting();
+}
+
+absl::Status PeerServer::start(const Address &address)
+{
+    asio::io_context &loop = m_impl->runtime.shard(0);
+    auto acceptor = listenOn(loop, address);
+    if (!acceptor.ok()) {
+        return acceptor.status();
+    }
+    m_impl->port = acceptor->local_endpoint().port();
+    m_impl->acceptor = std::make_unique<tcp::acceptor>(*std::move(acceptor));
+    auto run = [](std::shared_ptr<Impl> impl) -> asio::awaitable<void> { co_await impl->acceptAll(); };
+    asio::co_spawn(loop, run(m_impl), asio::detached);
+    return absl::OkStatus();
+}
+
+std::uint16_t PeerServer::port() const
+{
+    return m_impl->port;
+}
+
+void PeerServer::stopAccepting()
+{
+    asio::post(m_impl->runtime.shard(0), [impl = m_impl] {
+        if (impl->acceptor) {
+            impl->acceptor->close();
+        }
+    });
+}
+
+std::size_t PeerServer::inProgress() const
+{
+    return m_impl->inProgress;
+}
+
+}
--- /dev/null
+++ b/src/net/targetconnection.cpp
@@ -0,0 +1,127 @@
+#include "net/targetconnection.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <limits>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr std::uint32_t MaxAnswerHeadBytes = 64 * 1024;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned SwitchingProtocols = 101;
+
+}
+
+TargetConnection::TargetConnection(tcp::socket socket, std::shared_ptr<std::atomic<std::size_t>> openCount)
+    : m_stream(std::move(socket))
+    , m_openCount(std::move(openCount))
+{
+    m_openCount->fetch_add(1);
+}
+
+TargetConnection::~TargetConnection()
+{
+    m_openCount->fetch_sub(1);
+}
+
+asio::any_io_executor TargetConnection::executor()
+{
+    return m_stream.get_executor();
+}
+
+asio::awaitable<absl::Status> TargetConnection::write(std::string bytes, Duration timeout)
+{
+    m_stream.expires_after(timeout);
+    const auto [ec, n] = co_await asio::async_write(m_stream, asio::buffer(bytes), AsTuple);
+    m_stream.expires_never();
+    co_return toStatus(ec, "write to the target");
+}
+
+asio::awaitable<absl::StatusOr<ResponseHead>> TargetConnection::readHead(bool answersHead)
+{
+    do {
+        m_parser.emplace();
+        m_parser->header_limit(MaxAnswerHeadBytes);
+        m_parser->body_limit(boost::none);
+        m_parser->skip(answersHead);
+        const auto [ec, n] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, AsTuple);
+        if (ec) {
+            co_return toStatus(ec, "read the answer of the target");
+        }
+        if (m_parser->get().result_int() == SwitchingProtocols) {
+            co_return absl::UnavailableError("the target switched protocols unasked");
+        }
+    } while (m_parser->get().result_int() < FirstFinalStatus);
+    const auto &message = m_parser->get();
+    ResponseHead head;
+    head.status = static_cast<std::uint16_t>(message.result_int());
+    head.reason = std::string(message.reason());
+    head.headers = endToEndFields(message);
+    const bool bodiless = head.status == 204 || head.status == 304;
+    const auto length = m_parser->content_length();
+    if (bodiless) {
+        head.bodyKind = BodyKind::None;
+    } else if (length) {
+        head.bodyKind = BodyKind::Sized;
+        head.contentLength = *length;
+    } else {
+        head.bodyKind = BodyKind::Streamed;
+    }
+    co_return head;
+}
+
+asio::awaitable<absl::StatusOr<std::string>> TargetConnection::readBody(Duration timeout)
+{
+    std::string data;
+    while (data.empty() && !m_parser->is_done()) {
+        data.resize(BodyChunkBytes);
+        auto &body = m_parser->get().body();
+        body.data = data.data();
+        body.size = data.size();
+        m_stream.expires_after(timeout);
+        auto [ec, n] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, AsTuple);
+        m_stream.expires_never();
+        data.resize(data.size() - body.size);
+        if (ec && ec != http::error::need_buffer) {
+            co_return toStatus(ec, "read the body of the answer");
+        }
+    }
+    co_return data;
+}
+
+bool TargetConnection::answerDone() const
+{
+    return m_parser && m_parser->is_done();
+}
+
+bool TargetConnection::hasBuffered() const
+{
+    return m_buffer.size() > 0;
+}
+
+bool TargetConnection::reusable() const
+{
+    return answerDone() && m_parser->keep_alive() && m_buffer.size() == 0;
+}
+
+bool TargetConnection::stale()
+{
+    return isStale(m_stream.socket());
+}
+
+asio::awaitable<void> TargetConnection::cancelAndWait(Duration bound)
+{
+    boost::system::error_code ec;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    m_stream.expires_after(bound);
+    std::string scrap(BodyChunkBytes, '\0');
+    while (!ec) {
+        std::tie(ec, std::ignore) = co_await m_stream.async_read_some(asio::buffer(scrap), AsTuple);
+    }
+}
+
+}
--- /dev/null
+++ b/src/storage/recordlog.cpp
@@ -0,0 +1,200 @@
+#include "shallotrelay/storage/recordlog.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr std::string_view FileMagic = "shallotrelay log 1\n";
+
+/// Precedes each record.
+struct RecordHeader {
+    std::uint32_t bytes = 0;
+    std::uint32_t headerCheck = 0; // checksum of the length, so that a wrong length is not taken for a cut-off record
+    std::uint64_t payloadCheck = 0;
+};
+
+std::uint32_t checkOfLength(std::uint32_t bytes)
+{
+    return XXH32(&bytes, sizeof bytes, 0x5a11u);
+}
+
+RecordHeader headerOf(std::string_view record)
+{
+    RecordHeader header;
+    header.bytes = static_cast<std::uint32_t>(record.size());
+    header.headerCheck = checkOfLength(header.bytes);
+    header.payloadCheck = XXH3_64bits(record.data(), record.size());
+    return header;
+}
+
+std::string errorText()
+{
+    return std::strerror(errno); // NOLINT(concurrency-mt-unsafe)
+}
+
+bool writeAll(int fd, std::string_view data)
+{
+    while (!data.empty()) {
+        const ssize_t n = ::write(fd, data.data(), data.size());
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n <= 0) {
+            return false;
+        }
+        data.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return true;
+}
+
+absl::StatusOr<std::string> readAll(int fd)
+{
+    std::string out;
+    std::string buf(64 * 1024, '\0');
+    for (;;) {
+        const ssize_t n = ::read(fd, buf.data(), buf.size());
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0) {
+            return absl::DataLossError("cannot read: " + errorText());
+        }
+        if (n == 0) {
+            return out;
+        }
+        out.append(buf.data(), static_cast<std::size_t>(n));
+    }
+}
+
+/// Makes the name of a new file survive a crash.
+bool syncFolder(const std::string &path)
+{
+    const std::string folder = std::filesystem::path(path).parent_path().string();
+    const int fd = ::open(folder.empty() ? "." : folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) {
+        return false;
+    }
+    const bool synced = ::fsync(fd) == 0;
+    ::close(fd);
+    return synced;
+}
+
+}
+
+absl::StatusOr<std::unique_ptr<RecordLog>> RecordLog::open(const std::string &path, std::vector<std::string> *records)
+{
+    constexpr mode_t OwnerOnly = 0600;
+    const int fd = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, OwnerOnly);
+    if (fd < 0) {
+        return absl::UnavailableError(fmt::format("cannot open {}: {}", path, errorText()));
+    }
+    std::unique_ptr<RecordLog> log(new RecordLog(fd, path));
+    if (::flock(fd, LOCK_EX | LOCK_NB) != 0) {
+        return absl::FailedPreconditionError(path + " is in use by another process");
+    }
+    const absl::Status status = log->recover(records);
+    if (!status.ok()) {
+        return status;
+    }
+    return log;
+}
+
+RecordLog::RecordLog(int fd, std::string path)
+    : m_fd(fd)
+    , m_path(std::move(path))
+{
+}
+
+RecordLog::~RecordLog()
+{
+    ::close(m_fd);
+}
+
+absl::Status RecordLog::recover(std::vector<std::string> *records)
+{
+    const auto content = readAll(m_fd);
+    if (!content.ok()) {
+        return content.status();
+    }
+    const std::string_view all = *content;
+    const bool started = all.substr(0, FileMagic.size()) == FileMagic;
+    if (!started && FileMagic.substr(0, all.size()) != all) {
+        return absl::DataLossError(m_path + " is not a log of this program");
+    }
+    if (!started) {
+        if (const absl::Status status = cutAt(0); !status.ok()) {
+            return status;
+        }
+        const bool written = writeAll(m_fd, FileMagic) && ::fsync(m_fd) == 0 && syncFolder(m_path);
+        return written ? absl::OkStatus() : fail("cannot start");
+    }
+    std::size_t at = FileMagic.size();
+    while (at < all.size()) {
+        RecordHeader header;
+        const bool neverWritten = all.find_first_not_of('\0', at) == std::string_view::npos;
+        if (all.size() - at < sizeof header || neverWritten) {
+            return cutAt(at);
+        }
+        std::memcpy(&header, all.data() + at, sizeof header);
+        const bool sane = header.headerCheck == checkOfLength(header.bytes) && header.bytes <= MaxRecordBytes;
+        const std::size_t end = at + sizeof header + header.bytes;
+        if (sane && end > all.size()) {
+            return cutAt(at);
+        }
+        const std::string_view record = sane ? all.substr(at + sizeof header, header.bytes) : std::string_view();
+        if (!sane || XXH3_64bits(record.data(), record.size()) != header.payloadCheck) {
+            return absl::DataLossError(fmt::format("{}: the record at byte {} is damaged", m_path, at));
+        }
+        records->emplace_back(record);
+        at = end;
+    }
+    return absl::OkStatus();
+}
+
+absl::Status RecordLog::cutAt(std::size_t size)
+{
+    const bool cut = ::ftruncate(m_fd, static_cast<off_t>(size)) == 0 && ::fsync(m_fd) == 0;
+    return cut ? absl::OkStatus() : fail("cannot cut off the unfinished record");
+}
+
+absl::Status RecordLog::append(std::string_view record)
+{
+    if (m_broken) {
+        return absl::DataLossError(m_path + " failed before; restart to recover");
+    }
+    if (record.size() > MaxRecordBytes) {
+        return absl::InvalidArgumentError("the record is too large");
+    }
+    const RecordHeader header = headerOf(record);
+    std::string bytes(sizeof header, '\0');
+    std::memcpy(bytes.data(), &header, sizeof header);
+    bytes.append(record);
+    if (!writeAll(m_fd, bytes)) {
+        return fail("cannot write");
+    }
+    if (::fdatasync(m_fd) != 0) {
+        return fail("cannot sync");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status RecordLog::fail(std::string_view what)
+{
+    m_broken = true;
+    return absl::DataLossError(fmt::format("{} {}: {}", what, m_path, errorText()));
+}
+
+}
--- /dev/null
+++ b/src/wire/boundedarchive.h
@@ -0,0 +1,142 @@
+/// cereal archives over memory that never trust a length: one that exceeds what is left of the input is refused before
+/// anything is allocated. Numbers are little-endian.
+///
+/// Include this only in source files that encode or decode messages.
+#pragma once
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <bit>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace shallotrelay::internal
+{
+
+/// Thrown by an archive on input that is not a message; the frame codec turns it into an absl::Status.
+class DecodeError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Appends what it is given to a string.
+class BoundedOutputArchive : public cereal::OutputArchive<BoundedOutputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+    explicit BoundedOutputArchive(std::string *out)
+        : OutputArchive(this)
+        , m_out(out)
+    {
+    }
+
+    /// Appends raw bytes.
+    void write(const void *data, std::size_t size)
+    {
+        m_out->append(static_cast<const char *>(data), size);
+    }
+
+private:
+    std::string *m_out;
+};
+
+/// Reads from a view and throws DecodeError where the input ends early.
+class BoundedInputArchive : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+    explicit BoundedInputArchive(std::string_view input)
+        : InputArchive(this)
+        , m_input(input)
+    {
+    }
+
+    /// Copies raw bytes out of the input.
+    void read(void *data, std::size_t size)
+    {
+        if (size > m_input.size()) {
+            throw DecodeError("the message ends early");
+        }
+        std::memcpy(data, m_input.data(), size);
+        m_input.remove_prefix(size);
+    }
+
+    /// Returns how many bytes were not read yet.
+    std::size_t bytesLeft() const
+    {
+        return m_input.size();
+    }
+
+private:
+    std::string_view m_input;
+};
+
+static_assert(std::endian::native == std::endian::little, "frames are little-endian");
+
+template<class T>
+requires std::is_arithmetic_v<T>
+void CEREAL_SAVE_FUNCTION_NAME(BoundedOutputArchive &archive, const T &value)
+{
+    archive.write(&value, sizeof value);
+}
+
+template<class T>
+requires(std::is_arithmetic_v<T> && !std::is_same_v<T, bool>) void CEREAL_LOAD_FUNCTION_NAME(
+    BoundedInputArchive &archive, T &value)
+{
+    archive.read(&value, sizeof value);
+}
+
+/// Reads a truth value; a byte other than 0 and 1 is refused.
+inline void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, bool &value)
+{
+    std::uint8_t raw = 0;
+    archive.read(&raw, sizeof raw);
+    if (raw > 1) {
+        throw DecodeError("a truth value is neither 0 nor 1");
+    }
+    value = raw == 1;
+}
+
+template<class T>
+void CEREAL_SAVE_FUNCTION_NAME(BoundedOutputArchive &archive, const cereal::BinaryData<T> &data)
+{
+    archive.write(data.data, static_cast<std::size_t>(data.size));
+}
+
+template<class T>
+void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, cereal::BinaryData<T> &data)
+{
+    archive.read(data.data, static_cast<std::size_t>(data.size));
+}
+
+template<class T>
+void CEREAL_SAVE_FUNCTION_NAME(BoundedOutputArchive &archive, const cereal::SizeTag<T> &tag)
+{
+    const auto size = static_cast<std::uint32_t>(tag.size);
+    archive.write(&size, sizeof size);
+}
+
+/// Reads a count of elements; each element takes a byte at least, so a count above the bytes left is refused.
+template<class T>
+void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, cereal::SizeTag<T> &tag)
+{
+    std::uint32_t size = 0;
+    archive.read(&size, sizeof size);
+    if (size > archive.bytesLeft()) {
+        throw DecodeError("a length exceeds the message");
+    }
+    tag.size = size;
+}
+
+}
+
+CEREAL_REGISTER_ARCHIVE(shallotrelay::internal::BoundedOutputArchive)
+CEREAL_REGISTER_ARCHIVE(shallotrelay::internal::BoundedInputArchive)
+CEREAL_SETUP_ARCHIVE_TRAITS(shallotrelay::internal::BoundedInputArchive, shallotrelay::internal::BoundedOutputArchive)
--- /dev/null
+++ b/src/wire/framecodec.h
@@ -0,0 +1,36 @@
+/// Definitions of the frame codec, for the generated source file that instantiates it for each message.
+#pragma once
+
+#include "wire/boundedarchive.h"
+#include "wire/frame.h"
+
+namespace shallotrelay
+{
+
+template<class Message>
+std::string encodeFrame(const Message &message)
+{
+    std::string frame(FrameHeaderBytes, '\0');
+    internal::BoundedOutputArchive archive(&frame);
+    archive(message);
+    internal::fillFrameHeader(&frame, Message::FrameType);
+    return frame;
+}
+
+template<class Message>
+absl::StatusOr<Message> decodeMessage(std::string_view payload)
+{
+    Message message;
+    try {
+        internal::BoundedInputArchive archive(payload);
+        archive(message);
+        if (archive.bytesLeft() > 0) {
+            return absl::InvalidArgumentError("a message has bytes behind its end");
+        }
+    } catch (const internal::DecodeError &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+    return message;
+}
+
+}
--- /dev/null
+++ b/tests/process/pathtest.cpp
@@ -0,0 +1,243 @@
+#include "process/processes.h"
+#include "support.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+using namespace shallotrelay;
+
+namespace
+{
+
+std::size_t linesIn(const std::string &path)
+{
+    std::ifstream in(path);
+    return static_cast<std::size_t>(std::count(std::istreambuf_iterator<char>(in), {}, '\n'));
+}
+
+/// Two nodes in different data centres; the only target is beside the first.
+struct TwoNodes {
+    TwoNodes()
+        : near(deployment.addNode("brasov-a"))
+        , far(deployment.addNode("brasov-b"))
+        , target(deployment.addTarget(near, "redactie-1"))
+    {
+        REQUIRE(deployment.roll().status == 200);
+        REQUIRE(deployment.ready(1));
+    }
+
+    Deployment deployment;
+    NodeProcess &near;
+    NodeProcess &far;
+    Process &target;
+};
+
+}
+
+TEST_CASE("A request is served through the node beside the target and through another node")
+{
+    TwoNodes nodes;
+    for (const NodeProcess *it : {&nodes.near, &nodes.far}) {
+        const HttpReply get = nodes.deployment.call(*it, "GET", "/news?id=1");
+        CHECK(get.status == 200);
+        CHECK(get.body.find("\"path\":\"/news?id=1\"") != std::string::npos);
+        const HttpReply post = nodes.deployment.call(*it, "POST", "/publish", std::string(300000, 'x'));
+        CHECK(post.status == 200);
+        CHECK(post.body.find("\"received_bytes\":300000") != std::string::npos);
+    }
+    CHECK(linesIn(nodes.deployment.path("redactie-1.journal")) == 2);
+}
+
+TEST_CASE("A large download through two nodes is whole and takes little memory")
+{
+    TwoNodes nodes;
+    constexpr std::size_t Bytes = 300 * 1024 * 1024;
+    const auto before = nodes.far.process->residentBytes();
+    std::uint64_t peak = 0;
+    std::thread download([&] {
+        const std::string request = "GET /s/tipar/redactie/bytes/" + std::to_string(Bytes)
+                                    + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        const std::string answer = rawExchange(nodes.far.callers, request);
+        const std::size_t head = answer.find("\r\n\r\n") + 4;
+        CHECK(answer.size() - head == Bytes);
+    });
+    for (int i = 0; i < 20; ++i) {
+        std::this_thread::sleep_for(10ms);
+        peak = std::max({peak, nodes.far.process->residentBytes(), nodes.near.process->residentBytes()});
+    }
+    download.join();
+    constexpr std::uint64_t Bound = 32 * 1024 * 1024;
+    CHECK(before < Bound);
+    CHECK(peak < Bound);
+}
+
+TEST_CASE("Answers that the system makes itself say whether the request ran")
+{
+    TwoNodes nodes;
+    const std::string request = "GET /s/tipar/nothing/ HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    const std::string unknown = rawExchange(nodes.far.callers, request);
+    CHECK(unknown.find("HTTP/1.1 404") == 0);
+    CHECK(unknown.find("Shallotrelay-Execution: not-run\r\n") != std::string::npos);
+    nodes.target.signal(SIGKILL);
+    nodes.target.wait();
+    const std::string save
+        = "POST /s/tipar/redactie/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx";
+    const std::string refused = rawExchange(nodes.far.callers, save);
+    CAPTURE(refused);
+    CHECK(refused.find("HTTP/1.1 503") == 0);
+    CHECK(refused.find("Shallotrelay-Execution: not-run\r\n") != std::string::npos);
+    CHECK(linesIn(nodes.deployment.path("redactie-1.journal")) == 0);
+}
+
+TEST_CASE("A deadline is answered when it passes and not later")
+{
+    TwoNodes nodes;
+    const auto start = std::chrono::steady_clock::now();
+    const std::string answer = rawExchange(nodes.far.callers,
+                                           "GET /s/tipar/redactie/x?work_ms=8000 HTTP/1.1\r\nHost: x\r\n"
+                                           "Shallotrelay-Deadline-Ms: 200\r\nConnection: close\r\n\r\n",
+                                           8s);
+    CHECK(answer.find("HTTP/1.1 504") == 0);
+    CHECK(answer.find("Shallotrelay-Execution: unknown\r\n") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - start < 4s);
+}
+
+TEST_CASE("Bad input is answered or dropped and disturbs nothing else")
+{
+    TwoNodes nodes;
+    const std::string prefix = "GET /s/tipar/redactie/ HTTP/1.1\r\nHost: x\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"nonsense\r\n\r\n", "HTTP/1.1 400"},
+        {prefix + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 400"},
+        {prefix + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 400"},
+        {prefix + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n", "HTTP/1.1 400"},
+        {prefix + "Content-Length: -1\r\n\r\n", "HTTP/1.1 400"},
+        {prefix + "Transfer-Encoding: gzip, chunked\r\n\r\n", "HTTP/1.1 501"},
+        {prefix + "Big: " + std::string(20000, 'x') + "\r\n\r\n", "HTTP/1.1 431"},
+        {prefix + "Upgrade: websocket\r\nConnection: upgrade\r\n\r\n", "HTTP/1.1 501"},
+        {prefix + "Bad Name: 1\r\n\r\n", "HTTP/1.1 400"},
+        {"GET /s/tipar/redactie/ HTTP/1.1\r\n\r\n", "HTTP/1.1 400"},
+        {prefix + "Shallotrelay-Deadline-Ms: soon\r\n\r\n", "HTTP/1.1 400"},
+        {"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 501"},
+    };
+    for (const auto &it : cases) {
+        CAPTURE(it.first.substr(0, 80));
+        CHECK(rawExchange(nodes.near.callers, it.first).find(it.second) == 0);
+    }
+    CHECK(rawExchange(nodes.near.peers, std::string("\xff\xff\xff\xff\1", 5)).empty());
+    CHECK(rawExchange(nodes.near.peers, std::string("\5\0\0\0\1abcd", 9)).empty());
+    CHECK(rawExchange(nodes.near.peers, "GET / HTTP/1.1\r\n\r\n").empty());
+    CHECK(nodes.near.process->running());
+    CHECK(nodes.deployment.call(nodes.far, "GET", "/").status == 200);
+    CHECK(nodes.near.process->residentBytes() < 32 * 1024 * 1024);
+}
+
+TEST_CASE("HEAD, HTTP/1.0, pipelining and 100-continue behave as HTTP users expect")
+{
+    TwoNodes nodes;
+    const std::string path = "/s/tipar/redactie/bytes/10";
+    const std::string head
+        = rawExchange(nodes.far.callers, "HEAD " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    CHECK(head.find("Content-Length: 10\r\n") != std::string::npos);
+    CHECK(head.substr(head.size() - 4) == "\r\n\r\n");
+    const std::string old = rawExchange(nodes.far.callers, "GET " + path + " HTTP/1.0\r\n\r\n");
+    CHECK(old.find("HTTP/1.0 200") == 0);
+    CHECK(old.find("Connection: close") != std::string::npos);
+    const std::string one = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string last = "GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    const std::string piped = rawExchange(nodes.far.callers, one + one + last);
+    std::size_t answers = 0;
+    for (std::size_t i = piped.find("HTTP/1.1 200"); i != std::string::npos; i = piped.find("HTTP/1.1 200", i + 1)) {
+        ++answers;
+    }
+    CHECK(answers == 3);
+    const std::string expecting
+        = rawExchange(nodes.far.callers, "POST /s/tipar/redactie/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+                                         "Expect: 100-continue\r\nConnection: close\r\n\r\nabc");
+    CHECK(expecting.find("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200") == 0);
+}
+
+TEST_CASE("A caller that leaves cancels its request at the target and the slot is freed")
+{
+    TwoNodes nodes;
+    for (int i = 0; i < 24; ++i) {
+        rawExchange(nodes.far.callers, "GET /s/tipar/redactie/x?work_ms=60000 HTTP/1.1\r\nHost: x\r\n\r\n", 20ms);
+    }
+    CHECK(eventually([&] { return nodes.deployment.call(nodes.far, "GET", "/").status == 200; }));
+}
+
+TEST_CASE("A planned stop of a node cuts off no download")
+{
+    TwoNodes nodes;
+    constexpr std::size_t Bytes = 200 * 1024 * 1024;
+    std::string answer;
+    std::thread download([&] {
+        answer = rawExchange(nodes.near.callers, "GET /s/tipar/redactie/bytes/" + std::to_string(Bytes)
+                                                     + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    });
+    std::this_thread::sleep_for(30ms);
+    nodes.near.process->signal(SIGTERM);
+    download.join();
+    CHECK(answer.size() - answer.find("\r\n\r\n") - 4 == Bytes);
+    CHECK(nodes.near.process->wait() == 0);
+}
+
+TEST_CASE("A data centre that is taken out gets no new request within four seconds, and serves again when it is back")
+{
+    TwoNodes nodes;
+    REQUIRE(nodes.deployment.roll({"brasov-a"}).status == 200);
+    CHECK(eventually([&] { return nodes.deployment.call(nodes.far, "GET", "/").status == 503; }, 4s));
+    CHECK(nodes.deployment.call(nodes.near, "GET", "/").status == 503);
+    REQUIRE(nodes.deployment.roll().status == 200);
+    CHECK(eventually([&] { return nodes.deployment.call(nodes.far, "GET", "/").status == 200; }, 4s));
+}
+
+TEST_CASE("Accepted bundles survive a kill of the control process, and service goes on without it")
+{
+    TwoNodes nodes;
+    nodes.deployment.control->signal(SIGKILL);
+    nodes.deployment.control->wait();
+    CHECK(nodes.deployment.call(nodes.far, "GET", "/").status == 200);
+    nodes.deployment.startControl();
+    CHECK(nodes.deployment.ready(1));
+    const auto status = nlohmann::json::parse(nodes.deployment.bundleStatus().body);
+    CHECK(status["revision"] == 1);
+    CHECK(nodes.deployment.roll().body.find("\"accepted\"") != std::string::npos);
+}
+
+TEST_CASE("A target that is killed is replaced by the others")
+{
+    TwoNodes nodes;
+    nodes.deployment.addTarget(nodes.far, "redactie-2");
+    REQUIRE(nodes.deployment.ready(2));
+    nodes.target.signal(SIGKILL);
+    for (int i = 0; i < 50; ++i) {
+        const HttpReply reply = nodes.deployment.call(nodes.near, "GET", "/");
+        CAPTURE(i, reply.body);
+        CHECK(reply.status == 200);
+    }
+}
+
+TEST_CASE("Wrong settings end a command with status 2 and one line that names them")
+{
+    const WorkFolder folder;
+    const std::vector<std::vector<std::string>> cases = {
+        {"node", "--name", "n", "--data-centre", "d", "--threads", "many"},
+        {"node", "--name", "n", "--data-centre", "d", "--listen", "127.0.0.1:8081"},
+        {"control", "--data-folder", "x"},
+        {"node", "--colour", "red"},
+        {"target", "--slots", "9", "--connections", "3", "--name", "a", "--firm", "b", "--service", "c",
+         "--data-centre", "d"},
+        {"dance"},
+    };
+    for (const auto &it : cases) {
+        Process process(it, folder.path("out"));
+        CHECK(process.wait() == 2);
+    }
+    Process fine({"node", "--name", "n", "--data-centre", "d", "--check"}, folder.path("fine"));
+    CHECK(fine.wait() == 0);
+    CHECK(linesIn(folder.path("fine")) == 0);
+}
--- /dev/null
+++ b/tests/unit/bundletest.cpp
@@ -0,0 +1,211 @@
+#include "support.h"
+
+#include "shallotrelay/bundle/ledger.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace shallotrelay;
+
+namespace
+{
+
+std::string errorOf(const nlohmann::json &json)
+{
+    return std::string(parseBundle(json.dump()).status().message());
+}
+
+SignedBundle signedSample(std::uint64_t version, const KeyPair &key, std::uint32_t slots = 12)
+{
+    nlohmann::json json = sampleBundle(version);
+    json["services"]["redactie"]["slots"] = slots;
+    return *parseSignedBundle(*addSignature(json.dump(), key.secretKey));
+}
+
+}
+
+TEST_CASE("A bundle is read into its policy")
+{
+    const auto bundle = parseBundle(sampleBundle(7).dump());
+    REQUIRE(bundle.ok());
+    CHECK(bundle->firm == "tipar");
+    CHECK(bundle->version == 7);
+    CHECK(bundle->inService("brasov-a"));
+    CHECK_FALSE(bundle->inService("recife-a"));
+    const ServicePolicy *service = bundle->findService("redactie");
+    REQUIRE(service != nullptr);
+    CHECK(service->bounds.slots == 12);
+    CHECK(service->coldRamp == 200ms);
+    CHECK(service->queueLength == 24);
+}
+
+TEST_CASE("A faulty bundle is refused with the path of its fault")
+{
+    nlohmann::json json = sampleBundle(1);
+    SECTION("unknown key")
+    {
+        json["colour"] = 1;
+        CHECK(errorOf(json) == "$.colour: is not a known key");
+    }
+    SECTION("missing key")
+    {
+        json["services"]["redactie"].erase("slots");
+        CHECK(errorOf(json) == "$.services.redactie.slots: is missing");
+    }
+    SECTION("number out of bounds")
+    {
+        json["services"]["redactie"]["cold"]["slots"] = 13;
+        CHECK(errorOf(json) == "$.services.redactie.cold.slots: must be a whole number from 1 to 12");
+    }
+    SECTION("fraction in place of a whole number")
+    {
+        json["version"] = 1.5;
+        CHECK(errorOf(json).rfind("$.version: must be a whole number", 0) == 0);
+    }
+    SECTION("data centre that is not listed")
+    {
+        json["services"]["redactie"]["data_centres"].push_back("iasi");
+        CHECK(errorOf(json) == "$.services.redactie.data_centres: must hold names that $.data_centres lists");
+    }
+    SECTION("fewer connections than slots")
+    {
+        json["services"]["redactie"]["connections"] = 3;
+        CHECK(errorOf(json) == "$.services.redactie.connections: must not be below slots");
+    }
+    SECTION("state that is neither in nor out")
+    {
+        json["data_centres"]["brasov-a"] = "maybe";
+        CHECK(errorOf(json) == "$.data_centres.brasov-a: must be \"in\" or \"out\"");
+    }
+}
+
+TEST_CASE("A repeated key is refused")
+{
+    const auto bundle = parseBundle(R"({"format": 1, "firm": "tipar", "firm": "consorcio"})");
+    CHECK(std::string(bundle.status().message()) == "$: the key \"firm\" is repeated");
+}
+
+TEST_CASE("Text that is not a document is refused")
+{
+    for (const char *text : {"", "{", "[]", "null", "{\"format\":1}x", "\xff\xfe"}) {
+        CHECK_FALSE(parseBundle(text).ok());
+    }
+}
+
+TEST_CASE("Damaged bundle text never does more than fail")
+{
+    const std::string good = sampleBundle(1).dump();
+    const bool held = rc::check("mutated text is accepted only if it still is a bundle", [&] {
+        std::string text = good;
+        const auto edits = *rc::gen::inRange<std::size_t>(1, 6);
+        for (std::size_t i = 0; i < edits && !text.empty(); ++i) {
+            const auto where = *rc::gen::inRange<std::size_t>(0, text.size());
+            if (*rc::gen::arbitrary<bool>()) {
+                text[where] = *rc::gen::arbitrary<char>();
+            } else {
+                text.erase(where, *rc::gen::inRange<std::size_t>(1, 20));
+            }
+        }
+        const auto bundle = parseBundle(text);
+        if (bundle.ok()) {
+            for (const auto &it : bundle->services) {
+                RC_ASSERT(it.second.bounds.connections >= it.second.bounds.slots);
+            }
+        } else {
+            RC_ASSERT(!bundle.status().message().empty());
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("A bundle needs as many operators as its firm's policy asks")
+{
+    const std::vector<KeyPair> operators = {generateKeyPair(), generateKeyPair(), generateKeyPair()};
+    const TrustPolicy trust = sampleTrust(operators, 2);
+    std::string text = *addSignature(sampleBundle(1).dump(), operators[0].secretKey);
+    CHECK_FALSE(checkSignOff(*parseSignedBundle(text), trust).ok());
+    SECTION("two different operators suffice")
+    {
+        text = *addSignature(text, operators[2].secretKey);
+        CHECK(checkSignOff(*parseSignedBundle(text), trust).ok());
+    }
+    SECTION("the same operator twice does not")
+    {
+        text = *addSignature(text, operators[0].secretKey);
+        CHECK_FALSE(checkSignOff(*parseSignedBundle(text), trust).ok());
+        nlohmann::json json = nlohmann::json::parse(text);
+        json["signatures"].push_back(json["signatures"][0]);
+        CHECK_FALSE(checkSignOff(*parseSignedBundle(json.dump()), trust).ok());
+    }
+    SECTION("a stranger does not count")
+    {
+        text = *addSignature(text, generateKeyPair().secretKey);
+        CHECK_FALSE(checkSignOff(*parseSignedBundle(text), trust).ok());
+    }
+    SECTION("a changed bundle loses its signatures' worth")
+    {
+        nlohmann::json json = nlohmann::json::parse(*addSignature(text, operators[1].secretKey));
+        REQUIRE(checkSignOff(*parseSignedBundle(json.dump()), trust).ok());
+        json["bundle"]["services"]["redactie"]["slots"] = 13;
+        CHECK_FALSE(checkSignOff(*parseSignedBundle(json.dump()), trust).ok());
+    }
+    SECTION("a signature of another bundle does not count")
+    {
+        nlohmann::json json = nlohmann::json::parse(text);
+        const auto other = nlohmann::json::parse(*addSignature(sampleBundle(2).dump(), operators[1].secretKey));
+        json["signatures"].push_back(other["signatures"][0]);
+        CHECK_FALSE(checkSignOff(*parseSignedBundle(json.dump()), trust).ok());
+    }
+}
+
+TEST_CASE("A firm speaks only of its own data centres")
+{
+    const KeyPair key = generateKeyPair();
+    nlohmann::json json = sampleBundle(1);
+    json["data_centres"]["recife-a"] = "in";
+    const auto bundle = parseSignedBundle(*addSignature(json.dump(), key.secretKey));
+    const absl::Status status = checkSignOff(*bundle, sampleTrust({key}, 1));
+    CHECK(std::string(status.message()) == "$.data_centres.recife-a: is not the firm's own");
+}
+
+TEST_CASE("Layout and order of keys do not change a bundle's digest")
+{
+    const KeyPair key = generateKeyPair();
+    const std::string text = *addSignature(sampleBundle(3).dump(4), key.secretKey);
+    const auto json = nlohmann::ordered_json::parse(text);
+    nlohmann::ordered_json swapped = {{"signatures", json["signatures"]}, {"bundle", json["bundle"]}};
+    const auto a = parseSignedBundle(text);
+    const auto b = parseSignedBundle(swapped.dump());
+    CHECK(a->digest == b->digest);
+    CHECK(checkSignOff(*b, sampleTrust({key}, 1)).ok());
+}
+
+TEST_CASE("The ledger gives each bundle exactly one answer")
+{
+    const KeyPair key = generateKeyPair();
+    BundleLedger ledger;
+    const SignedBundle first = signedSample(1, key);
+    const SubmitAnswer accepted = ledger.decide(first);
+    REQUIRE(accepted.verdict == SubmitVerdict::Accepted);
+    ledger.apply({accepted.revision, "tipar", 1, first.digest});
+    SECTION("the same bundle again gets the same revision")
+    {
+        const SubmitAnswer again = ledger.decide(first);
+        CHECK(again.verdict == SubmitVerdict::SameAsAccepted);
+        CHECK(again.revision == accepted.revision);
+    }
+    SECTION("another bundle of the same version meets the winner")
+    {
+        const SubmitAnswer answer = ledger.decide(signedSample(1, key, 11));
+        CHECK(answer.verdict == SubmitVerdict::Conflict);
+        CHECK(answer.digest == first.digest);
+    }
+    SECTION("a lower version is refused once a higher one stands")
+    {
+        const SignedBundle fifth = signedSample(5, key);
+        ledger.apply({ledger.nextRevision(), "tipar", 5, fifth.digest});
+        CHECK(ledger.decide(signedSample(4, key)).verdict == SubmitVerdict::Refused);
+        CHECK(ledger.decide(first).verdict == SubmitVerdict::SameAsAccepted);
+        CHECK(ledger.decide(signedSample(6, key)).revision == 3);
+    }
+}
--- /dev/null
+++ b/tests/unit/guardtest.cpp
@@ -0,0 +1,216 @@
+#include "support.h"
+
+#include "shallotrelay/guard/guard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace shallotrelay;
+
+namespace
+{
+
+GuardPolicy policyOf(std::uint32_t slots)
+{
+    GuardPolicy policy;
+    policy.served = true;
+    policy.slots = slots;
+    policy.connections = 240;
+    policy.coldSlots = 2;
+    policy.coldRamp = 1s;
+    policy.revision = 1;
+    return policy;
+}
+
+/// A guard whose target is ready and past its ramp at 10 s.
+Guard warmGuard(const GuardPolicy &policy)
+{
+    Guard guard;
+    guard.setPolicy(policy, at(0s));
+    guard.announced({"boot-1", TargetState::Ready, 100, 240}, at(0s));
+    return guard;
+}
+
+/// Offers requests until one is not admitted and returns how many were.
+std::uint32_t admitAll(Guard &guard, TimePoint now, GuardTicket firstTicket = 1000)
+{
+    std::uint32_t n = 0;
+    while (guard.offer({firstTicket + n, now + 1s, false}, now).kind == GuardAnswer::Kind::Admitted) {
+        ++n;
+    }
+    return n;
+}
+
+GuardOutcome answeredIn(Duration latency)
+{
+    return {false, true, latency};
+}
+
+}
+
+TEST_CASE("A guard admits up to the bundle's bound")
+{
+    Guard guard = warmGuard(policyOf(12));
+    CHECK(admitAll(guard, at(10s)) == 12);
+    CHECK(guard.offer({1, at(20s), false}, at(10s)).refusal == GuardRefusal::AtLimit);
+}
+
+TEST_CASE("What the target announces lowers the bound but does not raise it")
+{
+    Guard guard = warmGuard(policyOf(12));
+    guard.announced({"boot-1", TargetState::Ready, 5, 240}, at(9s));
+    CHECK(guard.limit(at(10s)) == 5);
+    guard.announced({"boot-1", TargetState::Ready, 500, 240}, at(9s));
+    CHECK(guard.limit(at(10s)) == 12);
+}
+
+TEST_CASE("Work counts until the target is done with it")
+{
+    Guard guard = warmGuard(policyOf(1));
+    REQUIRE(guard.offer({1, at(11s), false}, at(10s)).kind == GuardAnswer::Kind::Admitted);
+    CHECK(guard.offer({2, at(11s), false}, at(10s)).kind == GuardAnswer::Kind::Refused);
+    guard.finished(1, {}, at(10s));
+    CHECK(guard.offer({3, at(11s), false}, at(10s)).kind == GuardAnswer::Kind::Admitted);
+}
+
+TEST_CASE("A cold target gets its cold bound and then a ramp")
+{
+    Guard guard;
+    guard.setPolicy(policyOf(12), at(0s));
+    guard.announced({"boot-1", TargetState::Cold, 100, 240}, at(0s));
+    CHECK(guard.limit(at(100s)) == 2);
+    guard.announced({"boot-1", TargetState::Ready, 100, 240}, at(100s));
+    CHECK(guard.limit(at(100s)) == 2);
+    CHECK(guard.limit(at(100s + 500ms)) == 7);
+    CHECK(guard.limit(at(101s)) == 12);
+}
+
+TEST_CASE("A target that turns cold without warning gets its cold bound at once")
+{
+    Guard guard = warmGuard(policyOf(12));
+    REQUIRE(admitAll(guard, at(10s)) == 12);
+    SECTION("shown by a new boot id")
+    {
+        guard.announced({"boot-2", TargetState::Cold, 100, 240}, at(10s));
+    }
+    SECTION("shown by a refused connection")
+    {
+        guard.suspectRestart(at(10s));
+    }
+    CHECK(guard.limit(at(60s)) == 2);
+    // Work in flight still counts: nothing is admitted until it is below the cold bound.
+    for (GuardTicket ticket = 1000; ticket < 1010; ++ticket) {
+        guard.finished(ticket, {}, at(60s));
+    }
+    CHECK(guard.inFlight() == 2);
+    CHECK(admitAll(guard, at(60s), 2000) == 0);
+}
+
+TEST_CASE("A leaving, absent or unserved target gets nothing")
+{
+    Guard guard;
+    CHECK(guard.offer({1, at(2s), true}, at(1s)).refusal == GuardRefusal::Absent);
+    guard.announced({"boot-1", TargetState::Ready, 100, 240}, at(0s));
+    CHECK(guard.offer({1, at(2s), true}, at(1s)).refusal == GuardRefusal::NotServed);
+    guard.setPolicy(policyOf(12), at(0s));
+    CHECK(guard.offer({1, at(12s), true}, at(10s)).kind == GuardAnswer::Kind::Admitted);
+    guard.announced({"boot-1", TargetState::Leaving, 100, 240}, at(10s));
+    CHECK(guard.offer({2, at(12s), true}, at(10s)).refusal == GuardRefusal::Leaving);
+    CHECK(guard.inFlight() == 1);
+}
+
+TEST_CASE("A data centre that comes back is ramped")
+{
+    Guard guard = warmGuard(policyOf(12));
+    GuardPolicy out = policyOf(12);
+    out.served = false;
+    out.revision = 2;
+    guard.setPolicy(out, at(20s));
+    CHECK(guard.limit(at(20s)) == 0);
+    GuardPolicy back = policyOf(12);
+    back.revision = 3;
+    guard.setPolicy(back, at(30s));
+    CHECK(guard.limit(at(30s)) == 2);
+    CHECK(guard.limit(at(31s)) == 12);
+}
+
+TEST_CASE("An older revision never replaces a newer one")
+{
+    Guard guard = warmGuard(policyOf(12));
+    GuardPolicy newer = policyOf(4);
+    newer.revision = 5;
+    guard.setPolicy(newer, at(10s));
+    guard.setPolicy(policyOf(12), at(10s));
+    CHECK(guard.limit(at(20s)) == 4);
+}
+
+TEST_CASE("The queue is bounded in length and time")
+{
+    GuardPolicy policy = policyOf(1);
+    policy.queueLength = 2;
+    policy.queueWait = 100ms;
+    Guard guard = warmGuard(policy);
+    REQUIRE(guard.offer({1, at(11s), true}, at(10s)).kind == GuardAnswer::Kind::Admitted);
+    CHECK(guard.offer({2, at(11s), true}, at(10s)).kind == GuardAnswer::Kind::Queued);
+    CHECK(guard.offer({3, at(10s + 20ms), true}, at(10s)).kind == GuardAnswer::Kind::Queued);
+    CHECK(guard.offer({4, at(11s), true}, at(10s)).refusal == GuardRefusal::QueueFull);
+    CHECK(guard.offer({5, at(11s), false}, at(10s)).refusal == GuardRefusal::AtLimit);
+    SECTION("the first in the queue starts when a slot is free")
+    {
+        CHECK(guard.finished(1, {}, at(10s + 10ms)).admitted == std::vector<GuardTicket>{2});
+    }
+    SECTION("a request that waited too long is given up, also behind one that may wait longer")
+    {
+        CHECK(guard.tick(at(10s + 30ms)).expired == std::vector<GuardTicket>{3});
+        CHECK(guard.tick(at(10s + 100ms)).expired == std::vector<GuardTicket>{2});
+    }
+    SECTION("a request whose caller left does not start")
+    {
+        CHECK(guard.withdraw(2));
+        CHECK(guard.finished(1, {}, at(10s + 10ms)).admitted == std::vector<GuardTicket>{3});
+    }
+}
+
+TEST_CASE("A target that slows down suddenly is held to its cold bound within tens of milliseconds")
+{
+    Guard guard = warmGuard(policyOf(12));
+    TimePoint now = at(10s);
+    for (GuardTicket ticket = 1; ticket <= 200; ++ticket) {
+        REQUIRE(guard.offer({ticket, now + 1s, false}, now).kind == GuardAnswer::Kind::Admitted);
+        now += 20ms;
+        guard.headArrived(ticket, now);
+        guard.finished(ticket, answeredIn(20ms), now);
+    }
+    REQUIRE(admitAll(guard, now) == 12);
+    guard.tick(now + 59ms);
+    CHECK(guard.limit(now + 59ms) == 12);
+    guard.tick(now + 70ms);
+    CHECK(guard.limit(now + 70ms) == 2);
+    SECTION("fast answers bring it back")
+    {
+        for (GuardTicket ticket = 1000; ticket < 1012; ++ticket) {
+            guard.finished(ticket, answeredIn(200ms), now + 200ms);
+        }
+        CHECK(guard.limit(now + 200ms) == 2);
+        for (GuardTicket ticket = 2000; ticket < 2020; ++ticket) {
+            guard.offer({ticket, now + 5s, false}, now + 300ms);
+            guard.finished(ticket, answeredIn(20ms), now + 320ms);
+        }
+        CHECK(guard.limit(now + 320ms) == 12);
+    }
+}
+
+TEST_CASE("Long downloads are not taken for slowness")
+{
+    Guard guard = warmGuard(policyOf(12));
+    for (GuardTicket ticket = 1; ticket <= 200; ++ticket) {
+        guard.offer({ticket, at(60s), false}, at(10s));
+        guard.headArrived(ticket, at(10s));
+        guard.finished(ticket, answeredIn(10ms), at(10s));
+    }
+    REQUIRE(admitAll(guard, at(10s)) == 12);
+    for (GuardTicket ticket = 1000; ticket < 1012; ++ticket) {
+        guard.headArrived(ticket, at(10s + 10ms));
+    }
+    guard.tick(at(50s));
+    CHECK(guard.limit(at(50s)) == 12);
+}
--- /dev/null
+++ b/tests/unit/routertest.cpp
@@ -0,0 +1,186 @@
+#include "support.h"
+
+#include "shallotrelay/retry/retry.h"
+#include "shallotrelay/routing/router.h"
+
+#include <catch2/catch.hpp>
+
+using namespace shallotrelay;
+
+namespace
+{
+
+ServiceRouter routerOver(std::size_t targets)
+{
+    RouterOptions options;
+    options.dataCentre = "brasov-a";
+    ServiceRouter router(options);
+    std::vector<RouterTarget> list;
+    for (std::size_t i = 1; i <= targets; ++i) {
+        list.push_back({"t" + std::to_string(i), "brasov-a", 12, TargetState::Ready, true, "boot"});
+    }
+    router.setTargets(list, at(0s));
+    return router;
+}
+
+LoadReport loadOf(std::uint32_t inFlight, std::uint32_t limit)
+{
+    LoadReport load;
+    load.inFlight = inFlight;
+    load.limit = limit;
+    load.state = TargetState::Ready;
+    return load;
+}
+
+std::map<std::string, int> chooseMany(const ServiceRouter &router, int n, TimePoint now)
+{
+    Random random(7);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < n; ++i) {
+        ++counts[router.choose({}, now, random)->target];
+    }
+    return counts;
+}
+
+}
+
+TEST_CASE("Without targets nothing is chosen")
+{
+    const ServiceRouter router = routerOver(0);
+    Random random(1);
+    CHECK_FALSE(router.choose({}, at(0s), random).has_value());
+}
+
+TEST_CASE("A target that is full gets far less than one with free slots")
+{
+    ServiceRouter router = routerOver(2);
+    router.reported("t1", loadOf(12, 12), at(1s));
+    router.reported("t2", loadOf(2, 12), at(1s));
+    const auto counts = chooseMany(router, 1000, at(1s));
+    CHECK(counts.at("t2") > 950);
+}
+
+TEST_CASE("Nodes that all see the same idle target do not all choose it")
+{
+    ServiceRouter router = routerOver(6);
+    for (const char *it : {"t2", "t3", "t4", "t5", "t6"}) {
+        router.reported(it, loadOf(6, 12), at(1s));
+    }
+    router.reported("t1", loadOf(0, 12), at(1s));
+    const auto counts = chooseMany(router, 1000, at(1s));
+    CHECK(counts.at("t1") < 400);
+}
+
+TEST_CASE("A target that fails fast looks idle but attracts nothing")
+{
+    ServiceRouter router = routerOver(6);
+    TimePoint now = at(1s);
+    for (int i = 0; i < 20; ++i) {
+        router.started("t1", now);
+        router.finished("t1", {true, true, 1ms}, now);
+    }
+    for (const char *it : {"t2", "t3", "t4", "t5", "t6"}) {
+        router.reported(it, loadOf(9, 12), now);
+    }
+    router.reported("t1", loadOf(0, 12), now);
+    const auto counts = chooseMany(router, 2000, now);
+    CHECK((counts.contains("t1") ? counts.at("t1") : 0) < 60);
+}
+
+TEST_CASE("A fault that all targets share ejects none of them")
+{
+    ServiceRouter router = routerOver(4);
+    for (const char *it : {"t1", "t2", "t3", "t4"}) {
+        for (int i = 0; i < 20; ++i) {
+            router.started(it, at(1s));
+            router.finished(it, {true, true, 1ms}, at(1s));
+        }
+    }
+    for (const auto &it : chooseMany(router, 1000, at(1s))) {
+        CHECK(it.second > 150);
+    }
+}
+
+TEST_CASE("A slow target keeps only a trickle")
+{
+    ServiceRouter router = routerOver(6);
+    for (int i = 0; i < 30; ++i) {
+        for (const char *it : {"t1", "t2", "t3", "t4", "t5", "t6"}) {
+            router.started(it, at(1s));
+            router.finished(it, {true, false, it == std::string("t1") ? 200ms : 20ms}, at(1s));
+        }
+    }
+    const auto counts = chooseMany(router, 5000, at(1s));
+    CHECK((counts.contains("t1") ? counts.at("t1") : 0) < 30);
+}
+
+TEST_CASE("Leaving and excluded targets and those out of service are never chosen")
+{
+    ServiceRouter router = routerOver(4);
+    router.setTargets({{"t1", "brasov-a", 12, TargetState::Leaving, true, "boot"},
+                       {"t2", "brasov-b", 12, TargetState::Ready, false, "boot"},
+                       {"t3", "brasov-a", 12, TargetState::Ready, true, "boot"},
+                       {"t4", "brasov-a", 12, TargetState::Ready, true, "boot"}},
+                      at(1s));
+    Random random(3);
+    for (int i = 0; i < 100; ++i) {
+        CHECK(router.choose({"t3"}, at(1s), random)->target == "t4");
+    }
+    CHECK(router.usableTargets() == 2);
+    CHECK_FALSE(router.choose({"t3", "t4"}, at(1s), random).has_value());
+}
+
+TEST_CASE("The own data centre is preferred but not to the last slot")
+{
+    ServiceRouter router = routerOver(1);
+    router.setTargets({{"near", "brasov-a", 12, TargetState::Ready, true, "boot"},
+                       {"far", "sibiu-c", 12, TargetState::Ready, true, "boot"}},
+                      at(1s));
+    router.reported("near", loadOf(4, 12), at(1s));
+    router.reported("far", loadOf(4, 12), at(1s));
+    auto counts = chooseMany(router, 1000, at(1s));
+    CHECK(counts.at("near") > counts.at("far"));
+    router.reported("near", loadOf(11, 12), at(1s));
+    counts = chooseMany(router, 1000, at(1s));
+    CHECK(counts.at("near") < counts.at("far"));
+}
+
+TEST_CASE("Only what did not run, or what is safe, is tried again")
+{
+    RetryBudget budget(10);
+    TryFailure failure;
+    failure.timeLeft = 1s;
+    failure.method = "POST";
+    failure.execution = Execution::Unknown;
+    CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
+    failure.execution = Execution::Ran;
+    CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
+    failure.execution = Execution::NotRun;
+    CHECK(decideRetry(failure, budget) == RetryDecision::TryAnother);
+    failure.bodyReplayable = false;
+    CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
+    failure.bodyReplayable = true;
+    failure.execution = Execution::Unknown;
+    failure.method = "GET";
+    CHECK(decideRetry(failure, budget) == RetryDecision::Retry);
+    failure.answerStarted = true;
+    CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
+    failure.answerStarted = false;
+    failure.belowRetry = true;
+    CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
+    failure.belowRetry = false;
+    failure.timeLeft = 0s;
+    CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
+}
+
+TEST_CASE("Retries stay within their share of first tries")
+{
+    RetryBudget budget(10);
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.firstTry();
+        retries += budget.takeRetry() ? 1 : 0;
+    }
+    CHECK(retries >= 100);
+    CHECK(retries <= 103);
+}
--- /dev/null
+++ b/tests/unit/settingstest.cpp
@@ -0,0 +1,79 @@
+#include "support.h"
+
+#include "cli/settingsreader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace shallotrelay;
+
+namespace
+{
+
+using Variables = std::map<std::string, std::string>;
+
+absl::StatusOr<NodeSettings> readNode(const std::vector<std::string> &args, const Variables &variables = {})
+{
+    const auto environment = [&](const std::string &name) -> const char * {
+        const auto it = variables.find(name);
+        return it == variables.end() ? nullptr : it->second.c_str();
+    };
+    const auto line = readCommandLine("node", "test", nodeSettingSpecs(), args, environment);
+    if (!line.ok()) {
+        return line.status();
+    }
+    return parseNodeSettings(line->raw);
+}
+
+std::string errorOf(const std::vector<std::string> &args, const Variables &variables = {})
+{
+    return std::string(readNode(args, variables).status().message());
+}
+
+}
+
+TEST_CASE("Settings have defaults, variables replace them, and flags replace both")
+{
+    CHECK(readNode({})->maxHeadBytes == 16384);
+    const Variables variables = {{"SHALLOTRELAY_MAX_HEAD_BYTES", "2048"}, {"SHALLOTRELAY_HEARTBEAT", "250ms"}};
+    CHECK(readNode({}, variables)->maxHeadBytes == 2048);
+    CHECK(readNode({}, variables)->heartbeat == 250ms);
+    CHECK(readNode({"--max-head-bytes", "4096"}, variables)->maxHeadBytes == 4096);
+}
+
+TEST_CASE("A wrong setting is named with its value")
+{
+    CHECK(errorOf({"--threads", "0"}) == "--threads \"0\": must be a whole number from 1 to 64");
+    CHECK(errorOf({"--listen", "localhost:80"}) == "--listen \"localhost:80\": the host must be an IP number");
+    CHECK(errorOf({"--listen", "127.0.0.1:70000"}).find("the port must be") != std::string::npos);
+    CHECK(errorOf({"--heartbeat", "5"}).find("a duration needs one of the units") != std::string::npos);
+    CHECK(errorOf({"--name", "Brasov A"}).find("--name \"Brasov A\"") == 0);
+    CHECK(errorOf({"--log-level", "loud"}).find("--log-level \"loud\"") == 0);
+    CHECK(errorOf({}, {{"SHALLOTRELAY_CONTROL", "x"}}).find("--control \"x\"") == 0);
+}
+
+TEST_CASE("An unknown flag is an error")
+{
+    CHECK(errorOf({"--colour", "red"}).find("colour") != std::string::npos);
+}
+
+TEST_CASE("Settings that contradict each other are refused")
+{
+    auto settings = readNode({"--name", "n1", "--data-centre", "brasov-a"});
+    REQUIRE(validate(*settings).ok());
+    settings->peerListen = settings->listen;
+    CHECK(std::string(validate(*settings).message()).find("--listen \"127.0.0.1:8080\" and --peer-listen") == 0);
+    settings = readNode({"--name", "n1", "--data-centre", "brasov-a", "--default-deadline", "2h"});
+    CHECK(std::string(validate(*settings).message()).find("--default-deadline") == 0);
+    settings = readNode({"--data-centre", "brasov-a"});
+    CHECK(std::string(validate(*settings).message()) == "--name \"\": must be set");
+}
+
+TEST_CASE("Durations take their units")
+{
+    CHECK(*parseDuration("1.5s") == 1500ms);
+    CHECK(*parseDuration("2h") == 2h);
+    CHECK(*parseDuration("0ms") == 0ms);
+    for (const char *it : {"", "s", "-1s", "1d", "1..2s", "99999999999999h"}) {
+        CHECK_FALSE(parseDuration(it).ok());
+    }
+}
