Spend less processor time on a call; count abandoned work until the target is done

Cause: each call raced several coroutines (caller gone, deadline, signs of life), and each log line woke the log's thread. One coroutine now runs with plain handlers that stop it; log lines are gathered for 20 ms and built without a JSON document.

Found with it: a cancelled exchange was taken for a fault of the target and freed its slot at once. It now leaves its connection to the slot, which is taken until the target ends its side; a test with a target that works on after its caller has gone covers it.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -265,7 +265,8 @@
         const std::string verdict = toString(answer.verdict);
         metrics.counter("shallotrelay_bundles_total", "Submitted bundles by verdict", {{"verdict", verdict}})
             .Increment();
-        log.write(LogLevel::Info, "bundle", toJson(answer));
+        log.write(LogLevel::Info, "bundle",
+                  LogFields().add("verdict", verdict).add("revision", answer.revision).add("reason", answer.reason));
         if (answer.verdict == SubmitVerdict::Accepted) {
             wakeAll();
         }
--- a/src/daemon/controllink.cpp
+++ b/src/daemon/controllink.cpp
@@ -1,12 +1,12 @@
 #include "daemon/controllink.h"
 
+#include "base/text.h"
 #include "net/framestream.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
-#include <nlohmann/json.hpp>
 
 #include <atomic>
 
@@ -62,7 +62,8 @@
         FrameStream stream(std::move(socket), MaxFramePayloadBytes);
         const auto first = co_await (receive(stream) || send(stream));
         const absl::Status status = first.index() == 0 ? std::get<0>(first) : std::get<1>(first);
-        log.write(LogLevel::Warn, "control-link", {{"control", source}, {"lost", std::string(status.message())}});
+        log.write(LogLevel::Warn, "control-link",
+                  LogFields().add("control", source).add("lost", toStd(status.message())));
     }
 
     asio::awaitable<absl::Status> receive(FrameStream &stream)
@@ -106,7 +107,8 @@
             return applied.status();
         }
         if (*applied) {
-            log.write(LogLevel::Info, "bundle-applied", {{"control", source}, {"revision", accepted.revision}});
+            log.write(LogLevel::Info, "bundle-applied",
+                      LogFields().add("control", source).add("revision", accepted.revision));
             options.onBundle();
             rouse();
         }
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -1,8 +1,5 @@
 #include "daemon/dispatcher.h"
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
-#include <nlohmann/json.hpp>
-
 #include <set>
 
 namespace shallotrelay
@@ -10,8 +7,6 @@
 namespace
 {
 
-using Json = nlohmann::ordered_json;
-
 constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
 
 /// Notices whether the body was touched, since a body that was read cannot be sent again.
@@ -162,7 +157,6 @@
 
     asio::awaitable<ExchangeResult> runTry(const RouterChoice &choice)
     {
-        using namespace asio::experimental::awaitable_operators;
         TryNote note(*m_shard, choice.target, *m_dispatcher.m_options.clock);
         logDecision("try", m_retryGranted ? "retry" : (m_tries == 1 ? "first" : "refused-elsewhere"), choice);
         m_request.head.target = choice.target;
@@ -175,15 +169,7 @@
         m_progress = {};
         m_sink.setWantsRetry([this](const ResponseHead &head) { return wantsRetry(head); });
         const auto backend = m_dispatcher.backendOf(*m_shard, m_record);
-        const auto first = co_await (backend->run(m_request.head, m_source, m_sink, m_progress, m_request.deadline)
-                                     || waitForDeadline());
-        ExchangeResult result;
-        if (first.index() == 0) {
-            result = std::get<0>(first);
-        } else {
-            result = ownResult(504, "the deadline passed", {});
-            result.execution = m_progress.execution;
-        }
+        ExchangeResult result = co_await backend->run(m_request.head, m_source, m_sink, m_progress, m_request.deadline);
         note.ended(result);
         if (result.whole) {
             m_dispatcher.m_headLatency.Observe(std::chrono::duration<double>(result.headLatency).count());
@@ -191,15 +177,6 @@
         co_return result;
     }
 
-    /// Ends at the deadline unless the answer has started by then.
-    asio::awaitable<void> waitForDeadline()
-    {
-        co_await sleepFor(m_request.deadline - now());
-        if (m_progress.answerStarted) {
-            co_await sleepForever();
-        }
-    }
-
     /// Tells whether a server error is worth a new try instead of being passed on.
     bool wantsRetry(const ResponseHead &head)
     {
@@ -255,18 +232,14 @@
         if (!m_dispatcher.m_log.enabled(LogLevel::Info)) {
             return;
         }
-        Json line = {{"node", m_dispatcher.m_options.node},
-                     {"request", m_request.head.requestId},
-                     {"service", m_shard->id.text()},
-                     {"decision", decision},
-                     {"reason", reason},
-                     {"try", m_tries}};
+        LogFields line;
+        line.add("node", m_dispatcher.m_options.node).add("request", m_request.head.requestId);
+        line.add("service", m_shard->id.text()).add("decision", decision).add("reason", reason);
+        line.add("try", std::uint64_t(m_tries));
         if (!choice.target.empty()) {
-            line["target"] = choice.target;
-            line["data_centre"] = m_record.dataCentre;
-            line["candidates"] = choice.candidates;
-            line["estimated_in_flight"] = choice.estimatedInFlight;
-            line["limit"] = choice.limit;
+            line.add("target", choice.target).add("data_centre", m_record.dataCentre);
+            line.add("candidates", std::uint64_t(choice.candidates)).add("limit", std::uint64_t(choice.limit));
+            line.add("estimated_in_flight", choice.estimatedInFlight);
         }
         m_dispatcher.m_log.write(LogLevel::Info, "route", line);
     }
--- a/src/daemon/eventlog.cpp
+++ b/src/daemon/eventlog.cpp
@@ -1,19 +1,29 @@
 #include "daemon/eventlog.h"
 
 #include <absl/status/statusor.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <spdlog/async.h>
-#include <spdlog/async_logger.h>
+#include <spdlog/logger.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <iterator>
+#include <mutex>
+#include <thread>
+#include <vector>
+
 namespace shallotrelay
 {
 namespace
 {
 
-constexpr std::size_t QueueLines = 8192;
-constexpr std::size_t WriterThreads = 1;
+constexpr std::size_t MaxWaitingLines = 8192;
+/// Lines gather for this long before they are written, so that a busy node does not wake its writer for each one.
+constexpr std::chrono::milliseconds GatherTime{20};
 
 spdlog::level::level_enum toSpdlog(LogLevel level)
 {
@@ -30,34 +40,130 @@
     return spdlog::level::info;
 }
 
+/// Appends a JSON string; plain text, which is the rule, is copied as it is.
+void appendQuoted(std::string *out, std::string_view text)
+{
+    const auto isPlain = [](char c) { return c >= ' ' && c < 127 && c != '"' && c != '\\'; };
+    if (std::all_of(text.begin(), text.end(), isPlain)) {
+        out->append(1, '"').append(text).append(1, '"');
+        return;
+    }
+    out->append(nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+/// A line with the time at which it was logged.
+struct Line {
+    spdlog::log_clock::time_point time;
+    spdlog::level::level_enum level = spdlog::level::info;
+    std::string text;
+};
+
+}
+
+LogFields &LogFields::add(std::string_view name, std::string_view text)
+{
+    m_text.append(",\"").append(name).append("\":");
+    appendQuoted(&m_text, text);
+    return *this;
 }
 
+LogFields &LogFields::add(std::string_view name, std::uint64_t number)
+{
+    fmt::format_to(std::back_inserter(m_text), ",\"{}\":{}", name, number);
+    return *this;
+}
+
+LogFields &LogFields::add(std::string_view name, double number)
+{
+    fmt::format_to(std::back_inserter(m_text), ",\"{}\":{:.3f}", name, number);
+    return *this;
+}
+
+const std::string &LogFields::text() const
+{
+    return m_text;
+}
+
+/// Gathers lines and lets a thread of its own write them.
 struct EventLog::Impl {
-    std::shared_ptr<spdlog::details::thread_pool> pool;
-    std::shared_ptr<spdlog::async_logger> logger;
+    explicit Impl(spdlog::sink_ptr sink, spdlog::level::level_enum level)
+        : logger("events", std::move(sink))
+    {
+        // The text is the rest of a JSON object, after the time and the level.
+        logger.set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v)", spdlog::pattern_time_type::utc);
+        logger.set_level(level);
+        writer = std::thread([this] { writeAll(); });
+    }
+
+    ~Impl()
+    {
+        {
+            const std::lock_guard lock(mutex);
+            stopped = true;
+        }
+        wake.notify_one();
+        writer.join();
+    }
+
+    void add(Line line)
+    {
+        bool first = false;
+        {
+            const std::lock_guard lock(mutex);
+            if (waiting.size() >= MaxWaitingLines) {
+                ++dropped;
+                return;
+            }
+            first = waiting.empty();
+            waiting.push_back(std::move(line));
+        }
+        if (first) {
+            wake.notify_one();
+        }
+    }
+
+    void writeAll()
+    {
+        std::unique_lock lock(mutex);
+        while (!stopped || !waiting.empty()) {
+            wake.wait(lock, [this] { return stopped || !waiting.empty(); });
+            wake.wait_for(lock, GatherTime, [this] { return stopped; });
+            std::vector<Line> batch;
+            batch.swap(waiting);
+            lock.unlock();
+            write(batch);
+            lock.lock();
+        }
+    }
+
+    void write(const std::vector<Line> &batch)
+    {
+        for (const Line &it : batch) {
+            logger.log(it.time, spdlog::source_loc{}, it.level, it.text);
+        }
+        logger.flush();
+    }
+
+    spdlog::logger logger;
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::vector<Line> waiting;
+    bool stopped = false;
+    std::atomic<std::uint64_t> dropped = 0;
+    std::thread writer;
 };
 
 absl::StatusOr<std::unique_ptr<EventLog>> EventLog::open(const std::string &path, const std::string &level)
 {
-    auto impl = std::make_unique<Impl>();
+    constexpr const char *StandardError = "/dev/stderr";
     try {
-        spdlog::sink_ptr sink;
-        if (path.empty()) {
-            sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
-        } else {
-            sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(path);
-        }
-        impl->pool = std::make_shared<spdlog::details::thread_pool>(QueueLines, WriterThreads);
-        impl->logger = std::make_shared<spdlog::async_logger>("events", sink, impl->pool,
-                                                              spdlog::async_overflow_policy::overrun_oldest);
+        // Standard error is opened as a file, since its own stream writes each line by itself.
+        auto sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(path.empty() ? StandardError : path);
+        auto impl = std::make_unique<Impl>(std::move(sink), spdlog::level::from_str(level));
+        return std::unique_ptr<EventLog>(new EventLog(std::move(impl)));
     } catch (const spdlog::spdlog_ex &error) {
         return absl::UnavailableError(error.what());
     }
-    // The message is the rest of a JSON object, after the time and the level.
-    impl->logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v)", spdlog::pattern_time_type::utc);
-    impl->logger->set_level(spdlog::level::from_str(level));
-    impl->logger->flush_on(spdlog::level::warn);
-    return std::unique_ptr<EventLog>(new EventLog(std::move(impl)));
 }
 
 EventLog::EventLog(std::unique_ptr<Impl> impl)
@@ -65,35 +171,28 @@
 {
 }
 
-EventLog::~EventLog()
-{
-    m_impl->logger->flush();
-}
+EventLog::~EventLog() = default;
 
-void EventLog::write(LogLevel level, const std::string &event, const nlohmann::ordered_json &fields)
+void EventLog::write(LogLevel level, const std::string &event, const LogFields &fields)
 {
     if (!enabled(level)) {
         return;
     }
-    nlohmann::ordered_json line = {{"event", event}};
-    line.update(fields);
-    const std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
-    m_impl->logger->log(toSpdlog(level), std::string_view(text).substr(1));
+    std::string text = "\"event\":";
+    appendQuoted(&text, event);
+    text += fields.text();
+    text += '}';
+    m_impl->add({spdlog::log_clock::now(), toSpdlog(level), std::move(text)});
 }
 
 bool EventLog::enabled(LogLevel level) const
 {
-    return m_impl->logger->should_log(toSpdlog(level));
+    return m_impl->logger.should_log(toSpdlog(level));
 }
 
 std::uint64_t EventLog::dropped() const
 {
-    return m_impl->pool->overrun_counter();
-}
-
-void EventLog::flush()
-{
-    m_impl->logger->flush();
+    return m_impl->dropped;
 }
 
 }
--- a/src/daemon/eventlog.h
+++ b/src/daemon/eventlog.h
@@ -5,16 +5,10 @@
 #pragma once
 
 #include <absl/status/status.h>
-#include <nlohmann/json_fwd.hpp>
-
 #include <cstdint>
 #include <memory>
 #include <string>
-
-namespace spdlog
-{
-class logger;
-}
+#include <string_view>
 
 namespace shallotrelay
 {
@@ -27,6 +21,28 @@
     Error, ///< Something failed and needs an operator.
 };
 
+/// Builds the fields of one line.
+///
+///     log.write(LogLevel::Info, "bundle-applied", LogFields().add("control", address).add("revision", revision));
+class LogFields
+{
+public:
+    /// Adds a text.
+    LogFields &add(std::string_view name, std::string_view text);
+
+    /// Adds a whole number.
+    LogFields &add(std::string_view name, std::uint64_t number);
+
+    /// Adds a number with a fraction.
+    LogFields &add(std::string_view name, double number);
+
+    /// Returns the fields as members of a JSON object, each behind a comma.
+    const std::string &text() const;
+
+private:
+    std::string m_text;
+};
+
 /// Writes JSON lines. Safe for use by several threads.
 class EventLog
 {
@@ -37,7 +53,7 @@
     ~EventLog();
 
     /// Writes one line; time, level and event come first, then the fields.
-    void write(LogLevel level, const std::string &event, const nlohmann::ordered_json &fields);
+    void write(LogLevel level, const std::string &event, const LogFields &fields);
 
     /// Returns whether lines of a level are written.
     bool enabled(LogLevel level) const;
@@ -45,9 +61,6 @@
     /// Returns how many lines were dropped.
     std::uint64_t dropped() const;
 
-    /// Waits until all lines are written.
-    void flush();
-
 private:
     struct Impl;
 
--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -2,8 +2,6 @@
 
 #include "bundle/jsonreader.h"
 
-#include <nlohmann/json.hpp>
-
 namespace shallotrelay
 {
 namespace
@@ -102,9 +100,10 @@
         ++entry.sequence;
         entry.guarded->setPolicy(policyOf(entry));
         m_log.write(LogLevel::Info, "target",
-                    {{"target", keyOf(announcement.service, announcement.name)},
-                     {"state", toString(entry.announcement.target.state)},
-                     {"boot_id", announcement.target.bootId}});
+                    LogFields()
+                        .add("target", keyOf(announcement.service, announcement.name))
+                        .add("state", toString(entry.announcement.target.state))
+                        .add("boot_id", announcement.target.bootId));
     }
     entry.guarded->announced(entry.announcement.target, announcement.address);
     if (changed) {
@@ -124,7 +123,7 @@
             continue;
         }
         it->second.guarded->announcementEnded();
-        m_log.write(LogLevel::Warn, "target", {{"target", it->first}, {"state", "lease-ended"}});
+        m_log.write(LogLevel::Warn, "target", LogFields().add("target", it->first).add("state", "lease-ended"));
         it = m_entries.erase(it);
     }
     if (m_entries.size() == before) {
--- a/src/net/doorsession.cpp
+++ b/src/net/doorsession.cpp
@@ -3,7 +3,6 @@
 #include "base/text.h"
 #include "shallotrelay/base/random.h"
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
@@ -18,6 +17,8 @@
 
 constexpr std::size_t ReadAheadBytes = 8 * 1024;
 constexpr std::size_t CoalesceBytes = 256 * 1024;
+constexpr std::uint16_t CallerGone = 499;
+constexpr std::uint16_t GatewayTimeout = 504;
 constexpr std::size_t LingerBytes = 1024 * 1024;
 constexpr Duration LingerBound = std::chrono::seconds(1);
 constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -81,10 +82,15 @@
     explicit Source(DoorSession &session)
         : m_session(session)
         , m_expects(!session.m_parser->get()[http::field::expect].empty() && session.m_parser->get().version() >= 11)
-        , m_ended(session.m_stream.get_executor())
     {
     }
 
+    /// Sets what is called once the whole body was read.
+    void setOnEnd(std::function<void()> onEnd)
+    {
+        m_onEnd = std::move(onEnd);
+    }
+
     asio::awaitable<absl::StatusOr<std::string>> read() override
     {
         if (m_expects) {
@@ -108,11 +114,11 @@
                 co_return toStatus(ec, "read the request body");
             }
         }
-        if (data.empty()) {
-            m_session.m_stream.expires_never();
-            m_ended.cancel();
+        m_session.m_stream.expires_never();
+        if (parser.is_done() && m_onEnd) {
+            const auto onEnd = std::exchange(m_onEnd, nullptr);
+            onEnd();
         }
-        m_returnedEnd = data.empty();
         co_return data;
     }
 
@@ -126,20 +132,10 @@
         return m_session.m_parser->is_done();
     }
 
-    /// Returns once the whole body was read.
-    asio::awaitable<void> waitForEnd()
-    {
-        while (!atEnd()) {
-            m_ended.expires_at(asio::steady_timer::time_point::max());
-            co_await m_ended.async_wait(AsTuple);
-        }
-    }
-
 private:
     DoorSession &m_session;
     bool m_expects;
-    bool m_returnedEnd = false;
-    asio::steady_timer m_ended;
+    std::function<void()> m_onEnd;
 };
 
 /// Writes the answer to the connection.
@@ -394,7 +390,6 @@
     if (result.whole) {
         co_return sink.keepsAlive() && source.atEnd();
     }
-    constexpr std::uint16_t CallerGone = 499;
     if (result.status == CallerGone || result.status == 0) {
         co_return false;
     }
@@ -404,36 +399,46 @@
 
 asio::awaitable<ExchangeResult> DoorSession::dispatch(CallerRequest &request, Source &source, Sink &sink)
 {
-    using namespace asio::experimental::awaitable_operators;
-    ExchangeProgress progress;
-    const auto first = co_await (m_context.dispatch(request, source, sink, progress) || watchCaller(source));
+    const auto stop = std::make_shared<StopSource>();
+    const auto progress = std::make_shared<ExchangeProgress>();
+    if (source.atEnd()) {
+        watchCaller(stop);
+    } else {
+        source.setOnEnd([this, stop] { watchCaller(stop); });
+    }
+    asio::steady_timer deadline(m_stream.get_executor());
+    deadline.expires_at(request.deadline);
+    deadline.async_wait([stop, progress](boost::system::error_code ec) {
+        // The deadline bounds the time until the answer starts; an answer that has started may go on.
+        if (!ec && !progress->answerStarted) {
+            stop->stop(StopReason::Deadline);
+        }
+    });
+    const auto ended = co_await stop->run(m_context.dispatch(request, source, sink, *progress));
+    boost::system::error_code ignored;
+    m_stream.socket().cancel(ignored);
     ExchangeResult result;
-    if (first.index() == 0) {
-        result = std::get<0>(first);
+    if (ended) {
+        result = *ended;
     } else {
-        result.status = 499;
-        result.execution = progress.execution;
+        const bool late = stop->reason() == StopReason::Deadline;
+        result.status = late ? GatewayTimeout : CallerGone;
+        result.reason = late ? "the deadline passed" : "the caller has gone";
+        result.execution = progress->execution;
     }
-    if (!result.whole && progress.answerStarted) {
+    if (!result.whole && progress->answerStarted) {
         // Part of an answer went out; only a closed connection tells the caller that it is not whole.
         result.status = 0;
     }
     co_return result;
 }
 
-/// Ends once the caller has gone.
-asio::awaitable<void> DoorSession::watchCaller(Source &source)
+/// Ends the request once the caller has gone; a request that follows at once keeps the caller from being watched.
+void DoorSession::watchCaller(const std::shared_ptr<StopSource> &stop)
 {
-    co_await source.waitForEnd();
     if (m_buffer.size() == 0) {
-        co_await m_stream.socket().async_wait(tcp::socket::wait_read, AsTuple);
-        char byte = 0;
-        const ssize_t n = ::recv(m_stream.socket().native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-        if (n <= 0) {
-            co_return;
-        }
+        stop->watchPeer(m_stream.socket());
     }
-    co_await sleepForever();
 }
 
 }
--- a/src/net/doorsession.h
+++ b/src/net/doorsession.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/door.h"
+#include "net/stopsource.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -60,7 +61,7 @@
     asio::awaitable<bool> serveRequest();
     asio::awaitable<bool> refuseHead(std::uint16_t status, std::string reason);
     asio::awaitable<ExchangeResult> dispatch(CallerRequest &request, Source &source, Sink &sink);
-    asio::awaitable<void> watchCaller(Source &source);
+    void watchCaller(const std::shared_ptr<StopSource> &stop);
     absl::StatusOr<CallerRequest> toRequest();
     bool keepAlive() const;
 
--- a/src/net/framestream.cpp
+++ b/src/net/framestream.cpp
@@ -1,5 +1,7 @@
 #include "net/framestream.h"
 
+#include "net/stopsource.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -159,17 +161,17 @@
     co_return toStatus(ec, "write a frame");
 }
 
-asio::awaitable<void> FrameStream::waitForClose()
+void FrameStream::watchPeer(const std::shared_ptr<StopSource> &stop)
 {
     if (m_impl->input.empty()) {
-        const auto [ec] = co_await m_impl->stream.socket().async_wait(tcp::socket::wait_read, AsTuple);
-        char byte = 0;
-        const ssize_t n = ::recv(m_impl->stream.socket().native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-        if (ec || n <= 0) {
-            co_return;
-        }
+        stop->watchPeer(m_impl->stream.socket());
     }
-    co_await sleepForever();
+}
+
+void FrameStream::endWatch()
+{
+    boost::system::error_code ignored;
+    m_impl->stream.socket().cancel(ignored);
 }
 
 bool FrameStream::stale()
--- a/src/net/framestream.h
+++ b/src/net/framestream.h
@@ -10,6 +10,8 @@
 namespace shallotrelay
 {
 
+class StopSource;
+
 /// One received frame.
 struct Frame {
     std::uint8_t type = 0; ///< The type byte.
@@ -37,8 +39,11 @@
     /// Sends all that is queued.
     asio::awaitable<absl::Status> flush();
 
-    /// Returns once the other side has closed the connection, and not before.
-    asio::awaitable<void> waitForClose();
+    /// Ends the coroutine of the source once the other side has closed the connection.
+    void watchPeer(const std::shared_ptr<StopSource> &stop);
+
+    /// Ends the watch that watchPeer() began; nothing else may be in progress on the connection.
+    void endWatch();
 
     /// Returns whether an idle connection was closed or got data that nobody asked for.
     bool stale();
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -266,6 +266,8 @@
                 keep(executor, slot.takeConnection());
                 co_return m_result;
             }
+            // A cancelled exchange leaves its connection to the slot, which waits for the target to end the work.
+            co_await throwIfCancelled();
             slot.takeConnection();
             if (!fresh && m_progress.execution == Execution::Unknown && !m_progress.answerStarted) {
                 fresh = true;
--- a/src/net/httpfields.cpp
+++ b/src/net/httpfields.cpp
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <set>
-#include <sstream>
 
 namespace shallotrelay
 {
@@ -117,19 +116,16 @@
     return !upgrade.empty() && !boost::beast::iequals(upgrade, "h2c");
 }
 
-void setFields(const std::vector<HeaderField> &from, http::fields *to)
+void appendField(std::string *out, std::string_view name, std::string_view value)
 {
-    for (const HeaderField &it : from) {
-        to->insert(it.name, it.value);
-    }
+    out->append(name).append(": ").append(value).append("\r\n");
 }
 
-template<class Head>
-std::string textOf(const Head &head)
+void appendFields(std::string *out, const std::vector<HeaderField> &fields)
 {
-    std::ostringstream out;
-    out << head;
-    return out.str();
+    for (const HeaderField &it : fields) {
+        appendField(out, it.name, it.value);
+    }
 }
 
 }
@@ -176,7 +172,8 @@
     std::vector<HeaderField> out;
     for (const auto &it : fields) {
         const std::string name(it.name_string());
-        const bool own = boost::beast::iequals(name, ExecutionHeader) || boost::beast::iequals(name, DeadlineHeader);
+        const bool own = boost::beast::iequals(name, ExecutionHeader) || boost::beast::iequals(name, DeadlineHeader)
+                         || boost::beast::iequals(name, RequestIdHeader);
         if (isHopByHop(it.name()) || own || named.contains(name)) {
             continue;
         }
@@ -210,44 +207,39 @@
 
 std::string requestHeadText(const RequestHead &head, std::string_view host)
 {
-    http::request_header<> out;
-    out.version(11);
-    out.method_string(head.method);
-    out.target(head.path);
-    setFields(head.headers, &out);
+    std::string out = head.method + " " + head.path + " HTTP/1.1\r\n";
     if (findField(head.headers, "Host").empty()) {
-        out.set(http::field::host, host);
+        appendField(&out, "Host", host);
     }
-    out.set(RequestIdHeader, head.requestId);
-    out.set(DeadlineHeader, std::to_string(head.timeLeftMs));
+    appendFields(&out, head.headers);
+    appendField(&out, RequestIdHeader, head.requestId);
+    appendField(&out, DeadlineHeader, std::to_string(head.timeLeftMs));
     if (head.bodyKind == BodyKind::Sized) {
-        out.set(http::field::content_length, std::to_string(head.contentLength));
+        appendField(&out, "Content-Length", std::to_string(head.contentLength));
     }
     if (head.bodyKind == BodyKind::Streamed) {
-        out.set(http::field::transfer_encoding, "chunked");
+        appendField(&out, "Transfer-Encoding", "chunked");
     }
-    return textOf(out);
+    return out + "\r\n";
 }
 
 std::string responseHeadText(const ResponseHead &head, unsigned version, bool keepAlive, bool chunked)
 {
-    http::response_header<> out;
-    out.version(version);
-    out.result(head.status);
-    out.reason(head.reason);
-    setFields(head.headers, &out);
+    constexpr unsigned Http10 = 10;
+    std::string out = fmt::format("HTTP/1.{} {} {}\r\n", version - Http10, head.status, head.reason);
+    appendFields(&out, head.headers);
     if (head.bodyKind == BodyKind::Sized) {
-        out.set(http::field::content_length, std::to_string(head.contentLength));
+        appendField(&out, "Content-Length", std::to_string(head.contentLength));
     }
     if (chunked) {
-        out.set(http::field::transfer_encoding, "chunked");
+        appendField(&out, "Transfer-Encoding", "chunked");
     }
     if (!keepAlive) {
-        out.set(http::field::connection, "close");
-    } else if (version == 10) {
-        out.set(http::field::connection, "keep-alive");
+        appendField(&out, "Connection", "close");
+    } else if (version == Http10) {
+        appendField(&out, "Connection", "keep-alive");
     }
-    return textOf(out);
+    return out + "\r\n";
 }
 
 void appendChunk(std::string *out, std::string_view data)
--- a/src/net/neterror.cpp
+++ b/src/net/neterror.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/system/system_error.hpp>
 #include <fmt/format.h>
 
 #include <sys/socket.h>
@@ -84,6 +85,14 @@
     co_await timer.async_wait(AsTuple);
 }
 
+asio::awaitable<void> throwIfCancelled()
+{
+    const asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
+    if (state.cancelled() != asio::cancellation_type::none) {
+        throw boost::system::system_error(asio::error::operation_aborted);
+    }
+}
+
 bool isStale(tcp::socket &socket)
 {
     char byte = 0;
--- a/src/net/neterror.h
+++ b/src/net/neterror.h
@@ -43,6 +43,9 @@
 /// Waits until the coroutine is cancelled.
 asio::awaitable<void> sleepForever();
 
+/// Throws if the coroutine was cancelled; call it where a failed operation must not be taken for a fault of the peer.
+asio::awaitable<void> throwIfCancelled();
+
 /// Returns whether the other side closed an idle connection or sent something on it.
 bool isStale(tcp::socket &socket);
 
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -51,6 +51,7 @@
             co_return m_result;
         }
         const absl::Status status = co_await converse(**stream);
+        co_await throwIfCancelled();
         if (m_finished) {
             keep(*std::move(stream));
         } else {
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -1,9 +1,9 @@
 #include "net/framestream.h"
 #include "net/peerprotocol.h"
+#include "net/stopsource.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 
@@ -30,10 +30,15 @@
         , m_head(head)
         , m_timeout(timeout)
         , m_atEnd(head.bodyKind == BodyKind::None)
-        , m_ended(m_stream.executor())
     {
     }
 
+    /// Sets what is called once the whole body was read.
+    void setOnEnd(std::function<void()> onEnd)
+    {
+        m_onEnd = std::move(onEnd);
+    }
+
     asio::awaitable<absl::StatusOr<std::string>> read() override
     {
         if (m_atEnd) {
@@ -46,7 +51,9 @@
         if (frame->type == BodyEnd::FrameType) {
             const auto end = decodeAs<BodyEnd>(*frame);
             m_atEnd = end.ok();
-            m_ended.cancel();
+            if (m_atEnd && m_onEnd) {
+                m_onEnd();
+            }
             co_return end.ok() ? absl::StatusOr<std::string>(std::string()) : end.status();
         }
         auto chunk = decodeAs<BodyChunk>(*frame);
@@ -69,21 +76,12 @@
         return m_atEnd;
     }
 
-    /// Returns once the whole body was read.
-    asio::awaitable<void> waitForEnd()
-    {
-        while (!m_atEnd) {
-            m_ended.expires_at(asio::steady_timer::time_point::max());
-            co_await m_ended.async_wait(AsTuple);
-        }
-    }
-
 private:
     FrameStream &m_stream;
     const RequestHead &m_head;
     Duration m_timeout;
     bool m_atEnd;
-    asio::steady_timer m_ended;
+    std::function<void()> m_onEnd;
 };
 
 /// Writes an answer as frames.
@@ -157,6 +155,53 @@
     bool m_closed = false;
 };
 
+/// Shows the other node that an exchange is alive until its answer starts.
+class LifeSigns : public std::enable_shared_from_this<LifeSigns>
+{
+public:
+    LifeSigns(FrameStream &stream, const FrameAnswerSink &sink, std::string requestId)
+        : m_stream(stream)
+        , m_sink(sink)
+        , m_requestId(std::move(requestId))
+        , m_timer(stream.executor())
+    {
+    }
+
+    /// Starts to show signs of life.
+    void start()
+    {
+        m_timer.expires_after(WaitingInterval);
+        m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+            if (!ec && !self->m_stopped && !self->m_sink.closed()) {
+                self->m_stream.queue(Waiting{self->m_requestId, {}});
+                asio::co_spawn(self->m_timer.get_executor(), flush(self), asio::detached);
+                self->start();
+            }
+        });
+    }
+
+    /// Shows no more of them.
+    void stop()
+    {
+        m_stopped = true;
+        m_timer.cancel();
+    }
+
+private:
+    static asio::awaitable<void> flush(std::shared_ptr<LifeSigns> self)
+    {
+        if (!self->m_stopped) {
+            co_await self->m_stream.flush();
+        }
+    }
+
+    FrameStream &m_stream;
+    const FrameAnswerSink &m_sink;
+    std::string m_requestId;
+    asio::steady_timer m_timer;
+    bool m_stopped = false;
+};
+
 Refusal toRefusal(const RequestHead &head, const ExchangeResult &result)
 {
     Refusal refusal;
@@ -231,12 +276,20 @@
     /// Serves one exchange and returns whether the connection can carry another one.
     asio::awaitable<bool> serveOne(FrameStream &stream, const RequestHead &head)
     {
-        using namespace asio::experimental::awaitable_operators;
         FrameBodySource source(stream, head, stallTimeout);
         FrameAnswerSink sink(stream, head.requestId);
-        const auto first = co_await (runAndAnswer(stream, head, source, sink) || keepAlive(stream, head, sink)
-                                     || watchForClose(stream, source));
-        co_return first.index() == 0 && std::get<0>(first);
+        const auto stop = std::make_shared<StopSource>();
+        if (source.atEnd()) {
+            stream.watchPeer(stop);
+        } else {
+            source.setOnEnd([&stream, stop] { stream.watchPeer(stop); });
+        }
+        const auto signs = std::make_shared<LifeSigns>(stream, sink, head.requestId);
+        signs->start();
+        const auto clean = co_await stop->run(runAndAnswer(stream, head, source, sink));
+        signs->stop();
+        stream.endWatch();
+        co_return clean.value_or(false);
     }
 
     asio::awaitable<bool> runAndAnswer(FrameStream &stream, const RequestHead &head, FrameBodySource &source,
@@ -275,25 +328,6 @@
         }
         co_return source.atEnd();
     }
-
-    /// Shows signs of life until the answer starts; it never ends by itself.
-    asio::awaitable<void> keepAlive(FrameStream &stream, const RequestHead &head, const FrameAnswerSink &sink)
-    {
-        for (;;) {
-            co_await sleepFor(WaitingInterval);
-            if (!sink.closed()) {
-                stream.queue(Waiting{head.requestId, {}});
-                co_await stream.flush();
-            }
-        }
-    }
-
-    /// Ends once the other node has given the exchange up.
-    asio::awaitable<void> watchForClose(FrameStream &stream, FrameBodySource &source)
-    {
-        co_await source.waitForEnd();
-        co_await stream.waitForClose();
-    }
 };
 
 PeerServer::PeerServer(Runtime &runtime, const Clock &clock, Duration stallTimeout, FindTarget findTarget)
--- a/src/standin/standintarget.cpp
+++ b/src/standin/standintarget.cpp
@@ -188,11 +188,17 @@
         if (target == "/abort") {
             std::abort();
         }
+        if (target == "/counts") {
+            co_return co_await answerJson(stream, countsAsJson(), 200, message.keep_alive(), false);
+        }
         noteStart(message);
         const auto work = numberBehind(target, "work_ms=");
         const Duration time = work ? std::chrono::milliseconds(*work) : settings.workTime;
         bool gone = false;
-        if (time > Duration::zero()) {
+        const bool stubborn = target.rfind("/stubborn", 0) == 0;
+        if (stubborn) {
+            co_await sleepFor(time);
+        } else if (time > Duration::zero()) {
             const auto first = co_await (sleepFor(time) || stream.socket().async_wait(tcp::socket::wait_read, AsTuple));
             gone = first.index() == 1;
         }
@@ -241,12 +247,32 @@
                                      {"path", std::string(message.target())},
                                      {"key", std::string(message["Idempotency-Key"])},
                                      {"received_bytes", message.body().size()}};
+        co_return co_await answerJson(stream, json, status, message.keep_alive(), head);
+    }
+
+    nlohmann::json countsAsJson() const
+    {
+        const std::lock_guard lock(mutex);
+        return {{"requests", counts.requests},
+                {"cancelled", counts.cancelled},
+                {"in_flight", counts.inFlight},
+                {"peak_in_flight", counts.peakInFlight},
+                {"above_bound", counts.aboveBound},
+                {"connections", counts.connections},
+                {"peak_connections", counts.peakConnections},
+                {"runs_by_key", counts.runsByKey}};
+    }
+
+    static asio::awaitable<bool> answerJson(boost::beast::tcp_stream &stream, const nlohmann::json &json,
+                                            unsigned status, bool keepAlive, bool head)
+    {
         const std::string body = json.dump() + "\n";
+        const std::string reason = status == 200 ? "OK" : "Internal Server Error";
         const std::string text
             = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}", status,
-                          status == 200 ? "OK" : "Internal Server Error", body.size(), head ? "" : body);
+                          reason, body.size(), head ? "" : body);
         const auto [ec, n] = co_await asio::async_write(stream, asio::buffer(text), AsTuple);
-        co_return !ec && message.keep_alive();
+        co_return !ec && keepAlive;
     }
 
     asio::awaitable<bool> answerBytes(boost::beast::tcp_stream &stream, std::uint64_t bytes, bool head)
--- a/tests/process/pathtest.cpp
+++ b/tests/process/pathtest.cpp
@@ -190,6 +190,30 @@
     CHECK(eventually([&] { return nodes.deployment.call(nodes.far, "GET", "/").status == 200; }));
 }
 
+TEST_CASE("Work that its caller has left counts against the bound until the target is done with it")
+{
+    Deployment deployment;
+    NodeProcess &node = deployment.addNode("brasov-a");
+    const Address direct = freeAddress();
+    deployment.addTarget(node, "redactie-1", {"--listen", direct.text()});
+    REQUIRE(deployment.roll().status == 200);
+    REQUIRE(deployment.ready(1));
+    std::this_thread::sleep_for(300ms);
+    const std::string request = "GET /s/tipar/redactie/stubborn?work_ms=1500 HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 60; ++i) {
+        callers.emplace_back([&] { rawExchange(node.callers, request, 30ms); });
+    }
+    for (std::thread &it : callers) {
+        it.join();
+    }
+    const auto counts = nlohmann::json::parse(blockingHttpCall(direct, {"GET", "/counts", "", ""}, 2s)->body);
+    CHECK(counts["in_flight"] == 12);
+    CHECK(counts["peak_in_flight"] == 12);
+    CHECK(counts["above_bound"] == 0);
+    CHECK(counts["peak_connections"] <= 240);
+}
+
 TEST_CASE("A planned stop of a node cuts off no download")
 {
     TwoNodes nodes;
--- a/tests/process/processes.cpp
+++ b/tests/process/processes.cpp
@@ -23,9 +23,23 @@
 
 std::uint16_t freePort()
 {
+    // Below the range from which the system takes the ports of outgoing connections, so that none of them takes it
+    // first.
+    constexpr int FirstPort = 15000;
+    constexpr int PortCount = 15000;
+    static int next = ::getpid() * 40 % PortCount;
     asio::io_context loop;
-    tcp::acceptor acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(FirstPort + next);
+        next = (next + 1) % PortCount;
+        tcp::acceptor acceptor(loop);
+        boost::system::error_code ec;
+        acceptor.open(tcp::v4(), ec);
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, ec);
+        if (!ec) {
+            return port;
+        }
+    }
 }
 
 Address freeAddress()
@@ -190,11 +204,13 @@
 
 Process &Deployment::addTarget(const NodeProcess &node, const std::string &name, const std::vector<std::string> &more)
 {
-    std::vector<std::string> args = {"target",       "--firm",          "tipar",
-                                     "--service",    "redactie",        "--name",
-                                     name,           "--listen",        freeAddress().text(),
-                                     "--node-admin", node.admin.text(), "--data-centre",
-                                     "any",          "--journal",       path(name + ".journal")};
+    std::vector<std::string> args = {"target", "--firm", "tipar", "--service", "redactie", "--name", name};
+    const std::vector<std::string> place = {"--node-admin", node.admin.text(), "--data-centre", "any"};
+    args.insert(args.end(), place.begin(), place.end());
+    if (std::find(more.begin(), more.end(), "--listen") == more.end()) {
+        args.insert(args.end(), {"--listen", freeAddress().text()});
+    }
+    args.insert(args.end(), {"--journal", path(name + ".journal")});
     args.insert(args.end(), more.begin(), more.end());
     m_targets.push_back(std::make_unique<Process>(args, path(name + ".log")));
     return *m_targets.back();
