Share the plan of a call between daemons and virtual time; scenarios and policy bench

The try loop of the dispatcher is now a part of the decision library (CallPlan), which the daemons and a world of fakes in virtual time drive alike.

--- /dev/null
+++ b/bench/policy.cpp
@@ -0,0 +1,117 @@
+// The decision library against the naive way, ablations and an oracle that knows each true load, in virtual time with
+// fixed seeds: the same figures on every run. Figures are <deployment>.<scenario>.<policy>.<measure>.
+
+#include "report.h"
+#include "scenarios/script.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace shallotrelay;
+
+namespace
+{
+
+struct Scenario {
+    const char *name; ///< Name in the figures.
+    const char *text; ///< Script; TARGET stands for the service's name, PLACE for its first data centre.
+};
+
+constexpr Scenario Scenarios[] = {
+    {"steady50", "load 50%\nrun 20s\n"},
+    {"steady80", "load 80%\nrun 20s\n"},
+    {"steady95", "load 95%\nrun 20s\n"},
+    {"spike", "load 80%\nrun 10s\nat 5s load x2\nat 5100ms load x1\n"},
+    {"rush", "load 60%\nrun 10s\nat 4s load x1.6\nat 6s load x1\n"},
+    {"slow_one", "load 80%\nrun 20s\nat 2s slow TARGET-1 x10\n"},
+    {"fail_fast", "load 70%\nrun 20s\nat 2s failfast TARGET-2\n"},
+    {"rolling_cold",
+     "load 60%\nrun 20s\nat 2s cold TARGET-1\nat 6s cold TARGET-2\nat 10s cold TARGET-3\nat 14s cold TARGET-4\n"},
+    {"move", "load 80%\nrun 24s\nat 5s out PLACE\nat 15s in PLACE\n"},
+};
+
+constexpr WorldPolicy Policies[]
+    = {WorldPolicy::Ours, WorldPolicy::Naive, WorldPolicy::NoQueue, WorldPolicy::PowerOfTwo, WorldPolicy::NoHealth};
+
+std::string replaceAll(std::string text, const std::string &from, const std::string &to)
+{
+    for (std::size_t i = text.find(from); i != std::string::npos; i = text.find(from, i + to.size())) {
+        text.replace(i, from.size(), to);
+    }
+    return text;
+}
+
+Script scriptOf(const std::string &deployment, const Scenario &scenario)
+{
+    const WorldOptions world = deployment == "tipar" ? tiparWorld() : consorcioWorld();
+    std::string text = "deployment " + deployment + "\nseed 11\n" + scenario.text;
+    text = replaceAll(text, "TARGET", world.service);
+    text = replaceAll(text, "PLACE", world.dataCentres.front());
+    const auto script = parseScript(text);
+    if (!script.ok()) {
+        std::cerr << script.status() << '\n';
+        std::exit(1);
+    }
+    return *script;
+}
+
+/// The least share, among all seconds, of what the oracle served in that second.
+double worstSecondLevel(const WorldMeasures &measures, const WorldMeasures &oracle)
+{
+    double worst = 1;
+    for (std::size_t i = 0; i < oracle.wholeBySecond.size(); ++i) {
+        if (oracle.wholeBySecond[i] > 0) {
+            worst = std::min(worst, double(measures.wholeBySecond[i]) / double(oracle.wholeBySecond[i]));
+        }
+    }
+    return worst;
+}
+
+void writeSeconds(const std::string &name, const WorldMeasures &measures)
+{
+    std::ofstream out("build/plots/" + name + ".dat");
+    for (std::size_t i = 0; i < measures.callsBySecond.size(); ++i) {
+        out << i << ' '
+            << double(measures.wholeBySecond[i]) / double(std::max<std::uint64_t>(1, measures.callsBySecond[i]))
+            << '\n';
+    }
+}
+
+void reportOne(const std::string &prefix, const WorldMeasures &measures, const WorldMeasures &oracle)
+{
+    report(prefix + ".p50", measures.quantileMs(0.5), "ms");
+    report(prefix + ".p99", measures.quantileMs(0.99), "ms");
+    report(prefix + ".p999", measures.quantileMs(0.999), "ms");
+    report(prefix + ".goodput_of_oracle", double(measures.whole) / double(oracle.whole), "share");
+    report(prefix + ".refused", double(measures.refused), "count");
+    report(prefix + ".limit_exceeded", double(measures.limitExceeded), "count");
+    report(prefix + ".double_runs", double(measures.doubleRuns), "count");
+    report(prefix + ".cut_answers", double(measures.cutAnswers), "count");
+    report(prefix + ".false_not_run", double(measures.falseNotRun), "count");
+    report(prefix + ".starts_per_call", measures.byName("starts_per_call"), "count");
+    report(prefix + ".worst_second_level", worstSecondLevel(measures, oracle), "share");
+    // Load rides on answers in this design, so that no probe is sent.
+    report(prefix + ".probe_budget_used", 0, "share");
+}
+
+}
+
+int main()
+{
+    std::filesystem::create_directories("build/plots");
+    for (const std::string deployment : {"tipar", "consorcio"}) {
+        for (const Scenario &scenario : Scenarios) {
+            const Script script = scriptOf(deployment, scenario);
+            const WorldMeasures oracle = runScript(script, WorldPolicy::Oracle);
+            const std::string prefix = deployment + "." + scenario.name + ".";
+            reportOne(prefix + "oracle", oracle, oracle);
+            for (const WorldPolicy policy : Policies) {
+                const WorldMeasures measures = runScript(script, policy);
+                reportOne(prefix + toString(policy), measures, oracle);
+                writeSeconds(prefix + toString(policy), measures);
+            }
+        }
+    }
+    return 0;
+}
--- a/include/shallotrelay/base/name.h
+++ b/include/shallotrelay/base/name.h
@@ -17,7 +17,7 @@
     std::string firm; ///< The firm that owns the service.
     std::string service; ///< Name of the service within the firm.
 
-    auto operator<=>(const ServiceId &other) const = default;
+    auto operator<=>(const ServiceId &other) const = default; // NOLINT(modernize-use-nullptr)
 
     /// Returns FIRM/SERVICE.
     std::string text() const;
--- /dev/null
+++ b/include/shallotrelay/routing/callplan.h
@@ -0,0 +1,89 @@
+/// The plan of one call: which target is tried next, and when to give up.
+///
+/// The plan does no I/O. Whoever carries a call out asks next() for a target, tries it, and tells the plan how the try
+/// ended; the daemons and the scenarios in virtual time share it. The router and the budget belong to the service; hold
+/// their lock around each call.
+///
+///     CallPlan plan("GET", false);
+///     while (auto planned = plan.next(router, budget, random, now)) {
+///         TryEnd end = run(*planned);
+///         if (end.whole || !plan.goesOn(end, router, budget)) break;
+///     }
+#pragma once
+
+#include "shallotrelay/retry/retry.h"
+#include "shallotrelay/routing/router.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace shallotrelay
+{
+
+/// Why a target is tried.
+enum class TryReason {
+    First, ///< The first try of the call.
+    RefusedElsewhere, ///< Another target refused it; it did not run.
+    Retry, ///< It may have run, and is run once more out of the budget.
+};
+
+/// Returns the name of a reason for logs.
+const char *toString(TryReason reason);
+
+/// A try that is to be made.
+struct PlannedTry {
+    RouterChoice choice; ///< The target.
+    TryReason reason = TryReason::First; ///< Why it is tried.
+    bool mayQueue = false; ///< Whether the guard may let it wait.
+};
+
+/// How a try ended.
+struct TryEnd {
+    bool whole = false; ///< Whether the whole answer came.
+    Execution execution = Execution::NotRun; ///< Whether the request ran.
+    std::uint16_t status = 0; ///< Status of the answer, if there was one.
+    bool answerStarted = false; ///< Whether a part of an answer went to the caller.
+    bool bodyTouched = false; ///< Whether a part of the request body was used up.
+    Duration timeLeft{}; ///< Time until the deadline.
+};
+
+/// Plans the tries of one call.
+class CallPlan
+{
+public:
+    /// Takes the method, and whether an earlier hop of the call was a retry.
+    CallPlan(std::string method, bool belowRetry);
+
+    /// Chooses the next target and tells the router that the try starts; none if there is no target left.
+    std::optional<PlannedTry> next(ServiceRouter &router, RetryBudget &budget, Random &random, TimePoint now);
+
+    /// Returns whether an answer with a server error is to be dropped for a new try; takes it out of the budget.
+    bool dropsAnswer(const TryEnd &end, const ServiceRouter &router, RetryBudget &budget);
+
+    /// Returns whether a failed try is followed by another one; takes a retry out of the budget.
+    bool goesOn(const TryEnd &end, const ServiceRouter &router, RetryBudget &budget);
+
+    /// Returns what is known of the whole call when its last try ended with this: one that may have run in an earlier try
+    /// is never said not to have run.
+    Execution overall(Execution last) const;
+
+    /// Returns how many tries were planned.
+    std::uint32_t tries() const;
+
+    /// Returns whether calls below the next try must not be retried.
+    bool belowRetry() const;
+
+private:
+    RetryDecision decide(const TryEnd &end, RetryBudget &budget);
+
+    std::string m_method;
+    bool m_belowRetry;
+    bool m_retryGranted = false;
+    Execution m_earlier = Execution::NotRun;
+    std::uint32_t m_tries = 0;
+    std::set<std::string> m_excluded;
+};
+
+}
--- a/src/cli/settingsreader.cpp
+++ b/src/cli/settingsreader.cpp
@@ -50,6 +50,7 @@
 {
     CommandLine out;
     std::vector<std::unique_ptr<TextFlag>> flags;
+    flags.reserve(specs.size());
     TCLAP::CmdLine line(doc, ' ', Version);
     line.setExceptionHandling(false);
     for (const SettingSpec &spec : specs) {
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "daemon/dispatcher.h"
 
-#include <set>
+#include "shallotrelay/routing/callplan.h"
 
 namespace shallotrelay
 {
@@ -107,67 +107,57 @@
         , m_source(source)
         , m_sink(sink)
         , m_progress(progress)
-        , m_belowRetry(!findField(request.head.headers, RetryHeader).empty())
+        , m_plan(request.head.method, !findField(request.head.headers, RetryHeader).empty())
     {
     }
 
     asio::awaitable<ExchangeResult> run()
     {
         ExchangeResult result = ownResult(503, "no target", NoTargetRetryAfter);
-        for (m_tries = 1;; ++m_tries) {
-            const auto choice = choose();
-            if (!choice) {
+        for (;;) {
+            const auto planned = plan();
+            if (!planned) {
                 logDecision("none", result.reason, {});
+                result.execution = m_plan.overall(result.execution);
                 co_return result;
             }
-            m_excluded.insert(choice->target);
-            result = co_await runTry(*choice);
+            result = co_await runTry(*planned);
             if (result.whole) {
                 co_return result;
             }
             if (!goesOn(result)) {
                 logDecision("give-up", result.reason, {});
                 m_dispatcher.m_givenUp.Increment();
+                result.execution = m_plan.overall(result.execution);
                 co_return result;
             }
         }
     }
 
 private:
-    std::optional<RouterChoice> choose()
+    std::optional<PlannedTry> plan()
     {
         const std::lock_guard lock(m_shard->mutex);
-        if (m_tries == 1) {
-            m_shard->budget.firstTry();
+        const auto planned = m_plan.next(m_shard->router, m_shard->budget, m_shard->random, now());
+        if (planned) {
+            m_record = m_shard->records.at(planned->choice.target);
         }
-        auto choice = m_shard->router.choose(m_excluded, now(), m_shard->random);
-        if (!choice) {
-            return std::nullopt;
-        }
-        const auto it = m_shard->records.find(choice->target);
-        if (it == m_shard->records.end()) {
-            return std::nullopt;
-        }
-        m_record = it->second;
-        m_shard->router.started(choice->target, now());
-        const bool last = m_tries >= MaxTries || choice->candidates == 1;
-        m_request.head.mayQueue = last;
-        return choice;
+        return planned;
     }
 
-    asio::awaitable<ExchangeResult> runTry(const RouterChoice &choice)
+    asio::awaitable<ExchangeResult> runTry(const PlannedTry &planned)
     {
-        TryNote note(*m_shard, choice.target, *m_dispatcher.m_options.clock);
-        logDecision("try", m_retryGranted ? "retry" : (m_tries == 1 ? "first" : "refused-elsewhere"), choice);
-        m_request.head.target = choice.target;
-        m_request.head.timeLeftMs = toWholeMilliseconds(m_request.deadline - now());
-        if (m_retryGranted && !m_belowRetry) {
+        TryNote note(*m_shard, planned.choice.target, *m_dispatcher.m_options.clock);
+        logDecision("try", toString(planned.reason), planned.choice);
+        if (planned.reason == TryReason::Retry) {
+            m_dispatcher.m_retries.Increment();
             m_request.head.headers.push_back({std::string(RetryHeader), "1"});
-            m_belowRetry = true;
         }
-        m_retryGranted = false;
-        m_progress = {};
-        m_sink.setWantsRetry([this](const ResponseHead &head) { return wantsRetry(head); });
+        m_request.head.target = planned.choice.target;
+        m_request.head.mayQueue = planned.mayQueue;
+        m_request.head.timeLeftMs = toWholeMilliseconds(m_request.deadline - now());
+        m_progress = {m_plan.overall(Execution::NotRun), false};
+        m_sink.setWantsRetry([this](const ResponseHead &head) { return dropsAnswer(head); });
         const auto backend = m_dispatcher.backendOf(*m_shard, m_record);
         ExchangeResult result = co_await backend->run(m_request.head, m_source, m_sink, m_progress, m_request.deadline);
         note.ended(result);
@@ -177,54 +167,27 @@
         co_return result;
     }
 
-    /// Tells whether a server error is worth a new try instead of being passed on.
-    bool wantsRetry(const ResponseHead &head)
-    {
-        constexpr std::uint16_t FirstServerError = 500;
-        constexpr std::uint16_t NotImplemented = 501;
-        if (head.status < FirstServerError || head.status == NotImplemented || !hasOtherTarget()) {
-            return false;
-        }
-        m_retryGranted = decide(Execution::Ran) == RetryDecision::Retry;
-        return m_retryGranted;
-    }
-
-    bool hasOtherTarget()
+    bool dropsAnswer(const ResponseHead &head)
     {
         const std::lock_guard lock(m_shard->mutex);
-        return m_shard->router.usableTargets() > m_excluded.size();
+        return m_plan.dropsAnswer(endOf(Execution::Ran, head.status), m_shard->router, m_shard->budget);
     }
 
-    /// Decides whether a failed try is followed by another one.
     bool goesOn(const ExchangeResult &result)
     {
-        if (m_retryGranted) {
-            m_dispatcher.m_retries.Increment();
-            return true;
-        }
-        if (!hasOtherTarget()) {
-            return false;
-        }
-        const RetryDecision decision = decide(result.execution);
-        m_retryGranted = decision == RetryDecision::Retry;
-        if (m_retryGranted) {
-            m_dispatcher.m_retries.Increment();
-        }
-        return decision != RetryDecision::GiveUp;
+        const std::lock_guard lock(m_shard->mutex);
+        return m_plan.goesOn(endOf(result.execution, result.status), m_shard->router, m_shard->budget);
     }
 
-    RetryDecision decide(Execution execution)
+    TryEnd endOf(Execution execution, std::uint16_t status) const
     {
-        TryFailure failure;
-        failure.execution = execution;
-        failure.bodyReplayable = !m_source.touched();
-        failure.answerStarted = m_progress.answerStarted;
-        failure.tries = m_tries;
-        failure.belowRetry = m_belowRetry;
-        failure.method = m_request.head.method;
-        failure.timeLeft = m_request.deadline - now();
-        const std::lock_guard lock(m_shard->mutex);
-        return decideRetry(failure, m_shard->budget);
+        TryEnd end;
+        end.execution = execution;
+        end.status = status;
+        end.answerStarted = m_progress.answerStarted;
+        end.bodyTouched = m_source.touched();
+        end.timeLeft = m_request.deadline - now();
+        return end;
     }
 
     void logDecision(const char *decision, std::string_view reason, const RouterChoice &choice)
@@ -235,7 +198,7 @@
         LogFields line;
         line.add("node", m_dispatcher.m_options.node).add("request", m_request.head.requestId);
         line.add("service", m_shard->id.text()).add("decision", decision).add("reason", reason);
-        line.add("try", std::uint64_t(m_tries));
+        line.add("try", std::uint64_t(m_plan.tries()));
         if (!choice.target.empty()) {
             line.add("target", choice.target).add("data_centre", m_record.dataCentre);
             line.add("candidates", std::uint64_t(choice.candidates)).add("limit", std::uint64_t(choice.limit));
@@ -255,11 +218,8 @@
     TrackedSource m_source;
     CallerSink &m_sink;
     ExchangeProgress &m_progress;
-    std::set<std::string> m_excluded;
+    CallPlan m_plan;
     TargetRecord m_record;
-    std::uint32_t m_tries = 1;
-    bool m_belowRetry;
-    bool m_retryGranted = false;
 };
 
 Dispatcher::Dispatcher(Options options, ServiceTable &services, LocalTargets &local, EventLog &log, Metrics &metrics)
--- a/src/daemon/eventlog.h
+++ b/src/daemon/eventlog.h
@@ -4,7 +4,7 @@
 /// so that logging never holds a request up.
 #pragma once
 
-#include <absl/status/status.h>
+#include <absl/status/statusor.h>
 #include <cstdint>
 #include <memory>
 #include <string>
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -260,6 +260,7 @@
             }
             TargetConnection &held = slot.hold(*std::move(connection));
             m_progress.execution = Execution::Unknown;
+            m_sent = true;
             absl::Status status = co_await converse(slot, held);
             if (status.ok()) {
                 slot.finish();
@@ -398,14 +399,14 @@
         return m_impl.guard.load(m_impl.options.clock->now());
     }
 
-    /// The connection was not made, so the request did not run.
+    /// The connection was not made, so the request did not run, unless it was sent on an idle connection before.
     ExchangeResult unreachable(Slot &slot, const absl::Status &status)
     {
         slot.failed();
         m_impl.idle.clear(m_executor);
         const std::lock_guard lock(m_impl.mutex);
         m_impl.guard.suspectRestart(m_impl.options.clock->now());
-        m_result.execution = Execution::NotRun;
+        m_result.execution = m_sent ? Execution::Unknown : Execution::NotRun;
         m_result.status = 503;
         m_result.reason = std::string(status.message());
         m_result.unreachable = true;
@@ -434,6 +435,7 @@
     AnswerSink &m_sink;
     ExchangeProgress &m_progress;
     ExchangeResult m_result;
+    bool m_sent = false;
     asio::any_io_executor m_executor;
 };
 
--- /dev/null
+++ b/src/routing/callplan.cpp
@@ -0,0 +1,111 @@
+#include "shallotrelay/routing/callplan.h"
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr std::uint16_t FirstServerError = 500;
+constexpr std::uint16_t NotImplemented = 501;
+
+}
+
+const char *toString(TryReason reason)
+{
+    switch (reason) {
+    case TryReason::First:
+        return "first";
+    case TryReason::RefusedElsewhere:
+        return "refused-elsewhere";
+    case TryReason::Retry:
+        return "retry";
+    }
+    return "invalid";
+}
+
+CallPlan::CallPlan(std::string method, bool belowRetry)
+    : m_method(std::move(method))
+    , m_belowRetry(belowRetry)
+{
+}
+
+std::optional<PlannedTry> CallPlan::next(ServiceRouter &router, RetryBudget &budget, Random &random, TimePoint now)
+{
+    if (m_tries == 0) {
+        budget.firstTry();
+    }
+    const auto choice = router.choose(m_excluded, now, random);
+    if (!choice) {
+        return std::nullopt;
+    }
+    ++m_tries;
+    m_excluded.insert(choice->target);
+    router.started(choice->target, now);
+    PlannedTry out;
+    out.choice = *choice;
+    // Waiting pays only where there is nowhere else to go.
+    out.mayQueue = m_tries >= MaxTries || choice->candidates == 1;
+    if (m_retryGranted) {
+        out.reason = TryReason::Retry;
+        m_belowRetry = true;
+        m_retryGranted = false;
+    } else if (m_tries > 1) {
+        out.reason = TryReason::RefusedElsewhere;
+    }
+    return out;
+}
+
+bool CallPlan::dropsAnswer(const TryEnd &end, const ServiceRouter &router, RetryBudget &budget)
+{
+    if (end.status < FirstServerError || end.status == NotImplemented || router.usableTargets() <= m_excluded.size()) {
+        return false;
+    }
+    m_retryGranted = decide(end, budget) == RetryDecision::Retry;
+    return m_retryGranted;
+}
+
+bool CallPlan::goesOn(const TryEnd &end, const ServiceRouter &router, RetryBudget &budget)
+{
+    if (m_retryGranted) {
+        return true;
+    }
+    if (router.usableTargets() <= m_excluded.size()) {
+        return false;
+    }
+    const RetryDecision decision = decide(end, budget);
+    m_retryGranted = decision == RetryDecision::Retry;
+    return decision != RetryDecision::GiveUp;
+}
+
+Execution CallPlan::overall(Execution last) const
+{
+    return last == Execution::NotRun ? m_earlier : last;
+}
+
+std::uint32_t CallPlan::tries() const
+{
+    return m_tries;
+}
+
+bool CallPlan::belowRetry() const
+{
+    return m_belowRetry;
+}
+
+RetryDecision CallPlan::decide(const TryEnd &end, RetryBudget &budget)
+{
+    if (end.execution != Execution::NotRun) {
+        m_earlier = Execution::Unknown;
+    }
+    TryFailure failure;
+    failure.execution = end.execution;
+    failure.bodyReplayable = !end.bodyTouched;
+    failure.answerStarted = end.answerStarted;
+    failure.tries = m_tries;
+    failure.belowRetry = m_belowRetry;
+    failure.method = m_method;
+    failure.timeLeft = end.timeLeft;
+    return decideRetry(failure, budget);
+}
+
+}
--- a/tests/unit/routertest.cpp
+++ b/tests/unit/routertest.cpp
@@ -1,7 +1,7 @@
 #include "support.h"
 
 #include "shallotrelay/retry/retry.h"
-#include "shallotrelay/routing/router.h"
+#include "shallotrelay/routing/callplan.h"
 
 #include <catch2/catch.hpp>
 
@@ -184,3 +184,20 @@
     CHECK(retries >= 100);
     CHECK(retries <= 103);
 }
+
+TEST_CASE("A call that may have run in an earlier try is never said not to have run")
+{
+    ServiceRouter router = routerOver(3);
+    RetryBudget budget(10);
+    Random random(1);
+    CallPlan plan("GET", false);
+    REQUIRE(plan.next(router, budget, random, at(0s)));
+    CHECK(plan.overall(Execution::NotRun) == Execution::NotRun);
+    TryEnd lost;
+    lost.execution = Execution::Unknown;
+    lost.timeLeft = 1s;
+    REQUIRE(plan.goesOn(lost, router, budget));
+    REQUIRE(plan.next(router, budget, random, at(0s))->reason == TryReason::Retry);
+    CHECK(plan.overall(Execution::NotRun) == Execution::Unknown);
+    CHECK(plan.overall(Execution::Ran) == Execution::Ran);
+}
