Retries from the first call on; the move test asks both nodes

Cause: a service's retry budget started empty, because its share is set after it is made; a first call that met a killed target on an idle connection was given up.

--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -25,7 +25,9 @@
 
 void RetryBudget::setPercent(std::uint32_t percent)
 {
+    const bool begins = m_percent == 0 && percent > 0;
     m_percent = percent;
+    m_saved = begins ? InitialRetries : m_saved;
     m_saved = percent > 0 ? m_saved : 0;
 }
 
--- a/tests/process/pathtest.cpp
+++ b/tests/process/pathtest.cpp
@@ -23,7 +23,7 @@
     TwoNodes()
         : near(deployment.addNode("brasov-a"))
         , far(deployment.addNode("brasov-b"))
-        , target(deployment.addTarget(near, "redactie-1"))
+        , target(deployment.addTarget(near, "redactie-1", {"--listen", direct.text()}))
     {
         REQUIRE(deployment.roll().status == 200);
         REQUIRE(deployment.ready(1));
@@ -32,6 +32,7 @@
     Deployment deployment;
     NodeProcess &near;
     NodeProcess &far;
+    Address direct = freeAddress(); // of the target itself
     Process &target;
 };
 
@@ -234,8 +235,16 @@
 {
     TwoNodes nodes;
     REQUIRE(nodes.deployment.roll({"brasov-a"}).status == 200);
-    CHECK(eventually([&] { return nodes.deployment.call(nodes.far, "GET", "/").status == 503; }, 4s));
-    CHECK(nodes.deployment.call(nodes.near, "GET", "/").status == 503);
+    const auto bothRefuse = [&] {
+        return nodes.deployment.call(nodes.far, "GET", "/").status == 503
+               && nodes.deployment.call(nodes.near, "GET", "/").status == 503;
+    };
+    CHECK(eventually(bothRefuse, 4s));
+    const std::string counts = blockingHttpCall(nodes.direct, {"GET", "/counts", "", ""}, 2s)->body;
+    for (int i = 0; i < 20; ++i) {
+        nodes.deployment.call(i % 2 == 0 ? nodes.far : nodes.near, "GET", "/");
+    }
+    CHECK(blockingHttpCall(nodes.direct, {"GET", "/counts", "", ""}, 2s)->body == counts);
     REQUIRE(nodes.deployment.roll().status == 200);
     CHECK(eventually([&] { return nodes.deployment.call(nodes.far, "GET", "/").status == 200; }, 4s));
 }
--- a/tests/unit/routertest.cpp
+++ b/tests/unit/routertest.cpp
@@ -184,6 +184,16 @@
     CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
 }
 
+TEST_CASE("A service that has just got its share may retry from its first call on")
+{
+    RetryBudget budget(0);
+    CHECK_FALSE(budget.takeRetry());
+    budget.setPercent(10);
+    CHECK(budget.takeRetry());
+    budget.setPercent(0);
+    CHECK_FALSE(budget.takeRetry());
+}
+
 TEST_CASE("Retries stay within their share of first tries")
 {
     RetryBudget budget(10);
