Run a save with an idempotency key at most once, across nodes, restarts and lost answers

A key runs only at the node that holds the claim to it. A control VM grants a claim once and syncs it before it answers; it names the node, its incarnation and the target. The node runs the request apart from its caller and keeps the answer; resends through any node are sent to the holder and get that answer, or 'unknown' if the holder has restarted.

Found by the model check: 'the claim could not be made' was answered 'not run' to a resend whose first try had run; it is 'unknown' now, as is every refusal of a keyed request by somebody who does not hold its claim.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -1,5 +1,7 @@
 #include "daemon/control.h"
 
+#include "daemon/claimstore.h"
+
 #include "net/framestream.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -93,6 +95,7 @@
     EventLog &log;
     Metrics metrics;
     std::unique_ptr<BundleStore> store;
+    std::unique_ptr<ClaimStore> claims;
     std::mutex directoryMutex;
     Directory directory;
     std::mutex sessionsMutex;
@@ -154,6 +157,16 @@
             if (!frame.ok()) {
                 co_return;
             }
+            if (frame->type == ClaimRequest::FrameType) {
+                const auto request = decodeAs<ClaimRequest>(*frame);
+                if (!request.ok()) {
+                    co_return;
+                }
+                const ClaimAnswer answer = co_await claim(*request);
+                stream.queue(answer);
+                co_await stream.flush();
+                continue;
+            }
             auto report = decodeAs<NodeReport>(*frame);
             if (!report.ok()) {
                 co_return;
@@ -168,6 +181,13 @@
         }
     }
 
+    /// Makes a claim on the thread that may wait for the disk.
+    asio::awaitable<ClaimAnswer> claim(const ClaimRequest &request)
+    {
+        auto work = [this, &request]() -> asio::awaitable<ClaimAnswer> { co_return claims->claim(request); };
+        co_return co_await asio::co_spawn(storeThread, work(), asio::use_awaitable);
+    }
+
     bool takeReport(const NodeReport &report)
     {
         const std::lock_guard lock(directoryMutex);
@@ -345,6 +365,11 @@
         return store.status();
     }
     impl.store = *std::move(store);
+    auto claims = ClaimStore::open(impl.settings.dataFolder);
+    if (!claims.ok()) {
+        return claims.status();
+    }
+    impl.claims = *std::move(claims);
     auto acceptor = listenOn(impl.runtime.shard(0), impl.settings.listen);
     if (!acceptor.ok()) {
         return acceptor.status();
--- a/src/daemon/controllink.cpp
+++ b/src/daemon/controllink.cpp
@@ -9,6 +9,9 @@
 #include <boost/asio/post.hpp>
 
 #include <atomic>
+#include <map>
+#include <utility>
+#include <vector>
 
 namespace shallotrelay
 {
@@ -18,6 +21,7 @@
 constexpr Duration ConnectTimeout = std::chrono::seconds(1);
 constexpr Duration ReconnectDelay = std::chrono::milliseconds(200);
 constexpr int SilentHeartbeats = 3;
+constexpr Duration ClaimTimeout = std::chrono::seconds(2);
 
 }
 
@@ -41,6 +45,10 @@
     asio::steady_timer wake;
     std::string source;
     bool roused = false;
+    std::uint64_t lastClaim = 0;
+    std::vector<ClaimRequest> outbox;
+    struct PendingClaim;
+    std::map<std::uint64_t, std::shared_ptr<PendingClaim>> pendingClaims;
     std::atomic<bool> connected = false;
     std::atomic<bool> stopped = false;
 
@@ -86,6 +94,13 @@
         if (frame.type == Heartbeat::FrameType) {
             return decodeAs<Heartbeat>(frame).status();
         }
+        if (frame.type == ClaimAnswer::FrameType) {
+            const auto answer = decodeAs<ClaimAnswer>(frame);
+            if (answer.ok()) {
+                takeClaim(*answer);
+            }
+            return answer.status();
+        }
         if (frame.type == DirectoryUpdate::FrameType) {
             const auto update = decodeAs<DirectoryUpdate>(frame);
             if (update.ok()) {
@@ -115,18 +130,62 @@
         return absl::OkStatus();
     }
 
-    /// Sends a report at once and then at each heartbeat, or sooner when something changed.
+    /// A claim that was asked for.
+    struct PendingClaim {
+        explicit PendingClaim(asio::io_context &claimLoop)
+            : answered(claimLoop)
+        {
+        }
+
+        asio::steady_timer answered;
+        std::optional<ClaimAnswer> answer;
+    };
+
+    static asio::awaitable<std::optional<ClaimAnswer>> claim(std::shared_ptr<Impl> self, ClaimRequest request)
+    {
+        if (!self->connected) {
+            co_return std::nullopt;
+        }
+        request.id = ++self->lastClaim;
+        const auto pending = std::make_shared<PendingClaim>(self->loop);
+        self->pendingClaims[request.id] = pending;
+        self->outbox.push_back(request);
+        self->wake.cancel();
+        pending->answered.expires_after(ClaimTimeout);
+        co_await pending->answered.async_wait(AsTuple);
+        self->pendingClaims.erase(request.id);
+        co_return pending->answer;
+    }
+
+    void takeClaim(const ClaimAnswer &answer)
+    {
+        const auto it = pendingClaims.find(answer.id);
+        if (it != pendingClaims.end()) {
+            it->second->answer = answer;
+            it->second->answered.cancel();
+        }
+    }
+
+    /// Sends a report at once and then at each heartbeat, or sooner when something changed; claims go out at once.
     asio::awaitable<absl::Status> send(FrameStream &stream)
     {
+        outbox.clear();
+        auto nextReport = std::chrono::steady_clock::now();
         for (;;) {
-            roused = false;
-            stream.queue(report());
+            if (roused || std::chrono::steady_clock::now() >= nextReport) {
+                roused = false;
+                stream.queue(report());
+                nextReport = std::chrono::steady_clock::now() + options.heartbeat;
+            }
+            for (const ClaimRequest &it : std::exchange(outbox, {})) {
+                stream.queue(it);
+            }
             const absl::Status status = co_await stream.flush();
             if (!status.ok()) {
                 co_return status;
             }
-            if (!roused) {
-                wake.expires_after(options.heartbeat);
+            if (!roused && outbox.empty()) {
+                wake.expires_at(nextReport);
                 co_await wake.async_wait(AsTuple);
             }
         }
@@ -171,6 +230,12 @@
     asio::post(m_impl->loop, [impl = m_impl] { impl->rouse(); });
 }
 
+asio::awaitable<std::optional<ClaimAnswer>> ControlLink::claim(ClaimRequest request)
+{
+    // The link lives on an event loop of its own.
+    co_return co_await asio::co_spawn(m_impl->loop, Impl::claim(m_impl, std::move(request)), asio::use_awaitable);
+}
+
 bool ControlLink::connected() const
 {
     return m_impl->connected;
--- a/src/daemon/controllink.h
+++ b/src/daemon/controllink.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace shallotrelay
 {
@@ -34,6 +35,9 @@
     /// Sends a report soon instead of at the next heartbeat.
     void reportSoon();
 
+    /// Asks for a claim to an idempotency key; returns none if there is no answer in time.
+    asio::awaitable<std::optional<ClaimAnswer>> claim(ClaimRequest request);
+
     /// Returns whether the control VM answers.
     bool connected() const;
 
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -9,19 +9,30 @@
 
 constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
 
-/// Notices whether the body was touched, since a body that was read cannot be sent again.
+/// Notices whether the body was used up. The body of a request with a key is held, so that it can be sent again.
 class TrackedSource : public BodySource
 {
 public:
-    explicit TrackedSource(BodySource &source)
+    TrackedSource(BodySource &source, bool holds)
         : m_source(source)
+        , m_holds(holds)
     {
     }
 
     asio::awaitable<absl::StatusOr<std::string>> read() override
     {
-        m_touched = true;
-        co_return co_await m_source.read();
+        if (m_next < m_held.size()) {
+            co_return m_held[m_next++];
+        }
+        auto part = co_await m_source.read();
+        if (part.ok() && m_holds && m_heldBytes <= MaxKeyedBytes) {
+            m_heldBytes += part->size();
+            m_held.push_back(*part);
+            m_next = m_held.size();
+        } else {
+            m_touched = true;
+        }
+        co_return part;
     }
 
     bool waitsForAdmission() const override
@@ -31,16 +42,27 @@
 
     bool atEnd() const override
     {
-        return m_source.atEnd();
+        return m_next >= m_held.size() && m_source.atEnd();
     }
 
+    /// Returns whether a part of the body is gone for good.
     bool touched() const
     {
         return m_touched;
     }
 
+    /// Starts from the beginning of the held body.
+    void rewind()
+    {
+        m_next = 0;
+    }
+
 private:
     BodySource &m_source;
+    bool m_holds;
+    std::vector<std::string> m_held;
+    std::size_t m_heldBytes = 0;
+    std::size_t m_next = 0;
     bool m_touched = false;
 };
 
@@ -104,7 +126,7 @@
         : m_dispatcher(dispatcher)
         , m_shard(std::move(shard))
         , m_request(request)
-        , m_source(source)
+        , m_source(source, isKeyed(request.head))
         , m_sink(sink)
         , m_progress(progress)
         , m_plan(request.head.method, !findField(request.head.headers, RetryHeader).empty())
@@ -122,6 +144,9 @@
                 co_return result;
             }
             result = co_await runTry(*planned);
+            if (!result.ownerAddress.empty()) {
+                result = co_await runAtOwner(result);
+            }
             if (result.whole) {
                 co_return result;
             }
@@ -156,6 +181,7 @@
         m_request.head.target = planned.choice.target;
         m_request.head.mayQueue = planned.mayQueue;
         m_request.head.timeLeftMs = toWholeMilliseconds(m_request.deadline - now());
+        m_source.rewind();
         m_progress = {m_plan.overall(Execution::NotRun), false};
         m_sink.setWantsRetry([this](const ResponseHead &head) { return dropsAnswer(head); });
         const auto backend = m_dispatcher.backendOf(*m_shard, m_record);
@@ -167,6 +193,25 @@
         co_return result;
     }
 
+    /// Sends a request with a key to the node that holds the claim to it, which knows what became of it.
+    asio::awaitable<ExchangeResult> runAtOwner(const ExchangeResult &refused)
+    {
+        logDecision("owner", refused.ownerTarget, {});
+        m_request.head.toOwner = true;
+        m_request.head.target = refused.ownerTarget;
+        m_record.name = refused.ownerTarget;
+        m_record.peerAddress = refused.ownerAddress;
+        m_source.rewind();
+        const auto backend = m_dispatcher.backendOf(*m_shard, m_record);
+        ExchangeResult result = co_await backend->run(m_request.head, m_source, m_sink, m_progress, m_request.deadline);
+        if (!result.whole && result.execution == Execution::NotRun && !result.reported) {
+            // The holder of the claim did not answer, and only it knows what became of the key.
+            result.execution = Execution::Unknown;
+            result.status = 502;
+        }
+        co_return result;
+    }
+
     bool dropsAnswer(const ResponseHead &head)
     {
         const std::lock_guard lock(m_shard->mutex);
@@ -248,12 +293,18 @@
         co_return ownResult(404, "no bundle names the service", {});
     }
     Call call(*this, shard, request, source, sink, progress);
-    co_return co_await call.run();
+    ExchangeResult result = co_await call.run();
+    constexpr std::uint16_t ServiceUnavailable = 503;
+    if (isKeyed(request.head) && result.status == ServiceUnavailable && !result.claimHeld) {
+        // Nobody who knows the key was asked: an earlier request with it may have run.
+        result.execution = Execution::Unknown;
+    }
+    co_return result;
 }
 
 std::shared_ptr<Backend> Dispatcher::backendOf(const ServiceShard &shard, const TargetRecord &record)
 {
-    if (auto local = m_local.find(shard.id, record.name)) {
+    if (auto local = m_local.findBackend(shard.id, record.name)) {
         return local;
     }
     const std::lock_guard lock(m_linksMutex);
--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -67,11 +67,13 @@
     return out;
 }
 
-LocalTargets::LocalTargets(Options options, ServiceTable &services, EventLog &log, Metrics &metrics)
+LocalTargets::LocalTargets(Options options, ServiceTable &services, EventLog &log, Metrics &metrics,
+                           std::shared_ptr<NodeKeys> keys)
     : m_options(std::move(options))
     , m_services(services)
     , m_log(log)
     , m_metrics(metrics)
+    , m_keys(std::move(keys))
 {
 }
 
@@ -91,6 +93,8 @@
                 .Increment();
         };
         entry.guarded = std::make_shared<GuardedTarget>(options);
+        const ClaimOwner self{m_options.peerAddress, announcement.name, m_options.incarnation};
+        entry.keyed = std::make_shared<KeyedTarget>(entry.guarded, m_keys, self, *m_options.clock);
     }
     entry.announcement = announcement;
     if (m_leaving) {
@@ -169,6 +173,13 @@
     return it == m_entries.end() ? nullptr : it->second.guarded;
 }
 
+std::shared_ptr<Backend> LocalTargets::findBackend(const ServiceId &service, const std::string &name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(keyOf(service, name));
+    return it == m_entries.end() ? nullptr : it->second.keyed;
+}
+
 std::vector<TargetRecord> LocalTargets::records() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/daemon/localtargets.h
+++ b/src/daemon/localtargets.h
@@ -4,7 +4,7 @@
 #include "daemon/eventlog.h"
 #include "daemon/metrics.h"
 #include "daemon/servicetable.h"
-#include "net/guardedtarget.h"
+#include "net/keyedtarget.h"
 
 #include <functional>
 #include <map>
@@ -40,7 +40,8 @@
         std::uint64_t incarnation = 0; ///< Rises each time that the node starts.
     };
 
-    LocalTargets(Options options, ServiceTable &services, EventLog &log, Metrics &metrics);
+    LocalTargets(Options options, ServiceTable &services, EventLog &log, Metrics &metrics,
+                 std::shared_ptr<NodeKeys> keys);
 
     /// Takes in an announcement; returns whether something about the target changed.
     bool announce(const Announcement &announcement);
@@ -60,6 +61,9 @@
     /// Finds the guard of a target, or returns nullptr.
     std::shared_ptr<GuardedTarget> find(const ServiceId &service, const std::string &name) const;
 
+    /// Finds what runs requests at a target, or returns nullptr.
+    std::shared_ptr<Backend> findBackend(const ServiceId &service, const std::string &name) const;
+
     /// Returns the records for the directory.
     std::vector<TargetRecord> records() const;
 
@@ -72,6 +76,7 @@
         TimePoint renewed;
         std::uint64_t sequence = 0;
         std::shared_ptr<GuardedTarget> guarded;
+        std::shared_ptr<KeyedTarget> keyed;
     };
 
     TargetRecord toRecord(const Entry &entry) const;
@@ -82,6 +87,7 @@
     ServiceTable &m_services;
     EventLog &m_log;
     Metrics &m_metrics;
+    std::shared_ptr<NodeKeys> m_keys;
     mutable std::mutex m_mutex;
     bool m_leaving = false;
     std::map<std::string, Entry> m_entries;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -24,6 +24,9 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(10);
 constexpr Duration ExpiryInterval = std::chrono::milliseconds(100);
 constexpr std::size_t MaxControlLinks = 2;
+/// Longer than a control VM keeps a claim, so that no key is forgotten here while its claim still stands.
+constexpr Duration KeyRetention = std::chrono::hours(25);
+constexpr std::size_t MaxKeptAnswerBytes = 8 * 1024 * 1024;
 
 std::uint64_t newIncarnation()
 {
@@ -85,8 +88,10 @@
         , log(l)
         , incarnation(newIncarnation())
         , services(clock, routerOptions(settings), seedOf(settings))
+        , keys(std::make_shared<NodeKeys>(KeyRetention, MaxKeptAnswerBytes,
+                                          [this](ClaimRequest request) { return claim(std::move(request)); }))
         , local({&clock, settings.announceLease, settings.stallTimeout, settings.dataCentre, "", incarnation}, services,
-                log, metrics)
+                log, metrics, keys)
         , dispatcher({&clock, settings.stallTimeout, settings.name}, services, local, log, metrics)
         , door(runtime, clock, doorOptions(settings),
                [this](CallerRequest &request, BodySource &source, CallerSink &sink, ExchangeProgress &progress) {
@@ -94,7 +99,7 @@
                })
         , peers(runtime, clock, settings.stallTimeout,
                 [this](const RequestHead &head) {
-                    return local.find({head.firm, head.service}, head.target);
+                    return local.findBackend({head.firm, head.service}, head.target);
                 })
         , admin(runtime, MaxAdminBytes, [this](HttpRequest request) { return handle(std::move(request)); })
     {
@@ -104,6 +109,18 @@
         }
     }
 
+    /// Asks the control VMs in turn until one answers.
+    asio::awaitable<std::optional<ClaimAnswer>> claim(ClaimRequest request)
+    {
+        for (const auto &it : links) {
+            std::optional<ClaimAnswer> answer = co_await it->claim(request);
+            if (answer) {
+                co_return answer;
+            }
+        }
+        co_return std::nullopt;
+    }
+
     ControlLink::Options linkOptions(const Address &address)
     {
         ControlLink::Options options;
@@ -224,6 +241,7 @@
     std::uint64_t incarnation;
     Metrics metrics;
     ServiceTable services;
+    std::shared_ptr<NodeKeys> keys;
     LocalTargets local;
     Dispatcher dispatcher;
     Door door;
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -77,6 +77,10 @@
     std::string reason; ///< Why there is no whole answer.
     Duration retryAfter{}; ///< When a new try is worthwhile; zero if unknown.
     bool unreachable = false; ///< Whether the target or its node could not be reached or failed.
+    std::string
+        ownerAddress; ///< Where the node listens that holds the claim to the key, if that is why it was refused.
+    std::string ownerTarget; ///< The target for which that node holds the claim.
+    bool claimHeld = false; ///< Whether the node that refused holds the claim to the key and knows that it did not run.
     bool reported = false; ///< Whether load holds a report of the guard.
     LoadReport load; ///< The last report of the guard.
     Duration headLatency{}; ///< Time until the head of the answer came.
--- /dev/null
+++ b/src/net/keyedtarget.cpp
@@ -0,0 +1,295 @@
+#include "net/keyedtarget.h"
+
+#include "shallotrelay/retry/retry.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <fmt/format.h>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr Duration WaitInterval = std::chrono::milliseconds(2);
+constexpr Duration ClaimRetryAfter = std::chrono::seconds(1);
+
+std::string keyOf(const RequestHead &head)
+{
+    return head.firm + "/" + head.service + "/" + head.idempotencyKey;
+}
+
+/// Tells requests with the same key apart.
+std::string fingerprintOf(const RequestHead &head, const std::string &body)
+{
+    return fmt::format("{} {} {} {:x}", head.method, head.path, body.size(), std::hash<std::string>{}(body));
+}
+
+/// Gives a body that is held whole.
+class HeldSource : public BodySource
+{
+public:
+    explicit HeldSource(std::string body)
+        : m_body(std::move(body))
+    {
+    }
+
+    asio::awaitable<absl::StatusOr<std::string>> read() override
+    {
+        co_return std::exchange(m_body, {});
+    }
+
+    bool waitsForAdmission() const override
+    {
+        return false;
+    }
+
+    bool atEnd() const override
+    {
+        return m_body.empty();
+    }
+
+private:
+    std::string m_body;
+};
+
+/// Keeps an answer.
+class KeepingSink : public AnswerSink
+{
+public:
+    asio::awaitable<absl::Status> head(const ResponseHead &head, Flush) override
+    {
+        answer->head = head;
+        co_return absl::OkStatus();
+    }
+
+    asio::awaitable<absl::Status> chunk(std::string data, Flush) override
+    {
+        answer->body += data;
+        const bool fits = answer->body.size() <= MaxKeyedBytes;
+        co_return fits ? absl::OkStatus() : absl::ResourceExhaustedError("the answer is too large to be kept");
+    }
+
+    asio::awaitable<absl::Status> end(const LoadReport &) override
+    {
+        co_return absl::OkStatus();
+    }
+
+    asio::awaitable<absl::Status> admitted(const LoadReport &) override
+    {
+        co_return absl::OkStatus();
+    }
+
+    std::shared_ptr<KeptAnswer> answer = std::make_shared<KeptAnswer>();
+};
+
+/// Reads the body of a request; one that is cut off or too large is an error.
+asio::awaitable<absl::Status> readWhole(const RequestHead &head, BodySource &source, AnswerSink &sink,
+                                        std::string *body)
+{
+    if (head.bodyKind == BodyKind::None) {
+        co_return absl::OkStatus();
+    }
+    const absl::Status admitted = co_await sink.admitted({});
+    if (!admitted.ok()) {
+        co_return admitted;
+    }
+    for (;;) {
+        const auto part = co_await source.read();
+        if (!part.ok()) {
+            co_return part.status();
+        }
+        if (part->empty()) {
+            co_return absl::OkStatus();
+        }
+        if (body->size() + part->size() > MaxKeyedBytes) {
+            co_return absl::ResourceExhaustedError("the body is too large for a request with a key");
+        }
+        *body += *part;
+    }
+}
+
+ExchangeResult bodyRefusal(const absl::Status &status)
+{
+    constexpr std::uint16_t BadRequest = 400;
+    constexpr std::uint16_t TooLarge = 413;
+    ExchangeResult result;
+    result.status = absl::IsResourceExhausted(status) ? TooLarge : BadRequest;
+    result.reason = std::string(status.message());
+    return result;
+}
+
+RunEnd endOf(const ExchangeResult &result)
+{
+    if (result.whole) {
+        return RunEnd::Answered;
+    }
+    return result.execution == Execution::NotRun ? RunEnd::NotRun : RunEnd::Lost;
+}
+
+}
+
+bool isKeyed(const RequestHead &head)
+{
+    return !head.idempotencyKey.empty() && !isSafeMethod(head.method);
+}
+
+KeyedTarget::KeyedTarget(std::shared_ptr<GuardedTarget> target, std::shared_ptr<NodeKeys> keys, ClaimOwner self,
+                         const Clock &clock)
+    : m_target(std::move(target))
+    , m_keys(std::move(keys))
+    , m_self(std::move(self))
+    , m_clock(clock)
+{
+}
+
+asio::awaitable<ExchangeResult> KeyedTarget::run(const RequestHead &head, BodySource &source, AnswerSink &sink,
+                                                 ExchangeProgress &progress, TimePoint deadline)
+{
+    if (!isKeyed(head)) {
+        co_return co_await m_target->run(head, source, sink, progress, deadline);
+    }
+    std::string body;
+    const absl::Status status = co_await readWhole(head, source, sink, &body);
+    if (!status.ok()) {
+        co_return bodyRefusal(status);
+    }
+    const std::shared_ptr<std::optional<ExchangeResult>> own = std::make_shared<std::optional<ExchangeResult>>();
+    const std::string key = keyOf(head);
+    const std::string fingerprint = fingerprintOf(head, body);
+    for (;;) {
+        if (own->has_value() && (*own)->execution == Execution::NotRun) {
+            ExchangeResult refused = **own;
+            refused.claimHeld = true;
+            co_return refused;
+        }
+        KeyDecision decision;
+        {
+            const std::lock_guard lock(m_keys->mutex);
+            decision = m_keys->ledger.begin(key, fingerprint, head.toOwner, m_clock.now());
+        }
+        if (decision.step == KeyStep::Claim) {
+            decision = co_await claim(key);
+        }
+        if (decision.step == KeyStep::Run) {
+            progress.execution = Execution::Unknown;
+            const auto executor = co_await asio::this_coro::executor;
+            asio::co_spawn(executor, runApart(shared_from_this(), head, body, deadline, own), asio::detached);
+            decision.step = KeyStep::Wait;
+        }
+        if (decision.step == KeyStep::Replay) {
+            co_return co_await replay(decision.answer, head, sink, progress);
+        }
+        if (decision.step != KeyStep::Wait) {
+            co_return refusal(decision);
+        }
+        progress.execution = Execution::Unknown;
+        co_await sleepFor(WaitInterval);
+    }
+}
+
+/// Asks for the claim; the ledger hears of the answer also if the caller goes meanwhile.
+asio::awaitable<KeyDecision> KeyedTarget::claim(std::string key)
+{
+    /// Tells the ledger that no answer came unless one did.
+    struct Pending {
+        ~Pending()
+        {
+            if (!answered) {
+                const std::lock_guard lock(keys.mutex);
+                keys.ledger.claimAnswered(key, nullptr, self);
+            }
+        }
+
+        NodeKeys &keys;
+        const std::string &key;
+        const ClaimOwner &self;
+        bool answered = false;
+    };
+    Pending pending{*m_keys, key, m_self};
+    ClaimRequest request;
+    request.key = key;
+    request.ownerAddress = m_self.address;
+    request.ownerTarget = m_self.target;
+    request.incarnation = m_self.incarnation;
+    const std::optional<ClaimAnswer> answer = co_await m_keys->claim(request);
+    const std::lock_guard lock(m_keys->mutex);
+    pending.answered = true;
+    co_return m_keys->ledger.claimAnswered(key, answer ? &*answer : nullptr, m_self);
+}
+
+asio::awaitable<void> KeyedTarget::runApart(std::shared_ptr<KeyedTarget> self, RequestHead head, std::string body,
+                                            TimePoint deadline, std::shared_ptr<std::optional<ExchangeResult>> own)
+{
+    const std::string key = keyOf(head);
+    HeldSource source(std::move(body));
+    KeepingSink sink;
+    ExchangeProgress progress;
+    head.mayQueue = true;
+    const ExchangeResult result = co_await self->m_target->run(head, source, sink, progress, deadline);
+    {
+        const std::lock_guard lock(self->m_keys->mutex);
+        self->m_keys->ledger.ran(key, endOf(result), sink.answer);
+    }
+    *own = result;
+}
+
+asio::awaitable<ExchangeResult> KeyedTarget::replay(std::shared_ptr<const KeptAnswer> answer, const RequestHead &head,
+                                                    AnswerSink &sink, ExchangeProgress &progress)
+{
+    ExchangeResult result;
+    result.execution = Execution::Ran;
+    result.status = answer->head.status;
+    progress.execution = Execution::Ran;
+    ResponseHead out = answer->head;
+    out.requestId = head.requestId;
+    out.load = m_target->load();
+    absl::Status status = co_await sink.head(out, Flush::WithNext);
+    progress.answerStarted = status.ok();
+    for (std::size_t at = 0; status.ok() && at < answer->body.size(); at += BodyChunkBytes) {
+        std::string part = answer->body.substr(at, BodyChunkBytes);
+        status = co_await sink.chunk(std::move(part), Flush::WithNext);
+    }
+    if (status.ok()) {
+        status = co_await sink.end(out.load);
+    }
+    result.whole = status.ok();
+    result.reported = true;
+    result.load = out.load;
+    co_return result;
+}
+
+ExchangeResult KeyedTarget::refusal(const KeyDecision &decision) const
+{
+    ExchangeResult result;
+    result.reported = true;
+    result.load = m_target->load();
+    switch (decision.step) {
+    case KeyStep::Redirect:
+        result.status = 503;
+        result.reason = "another node holds the claim to the key";
+        result.ownerAddress = decision.owner.address;
+        result.ownerTarget = decision.owner.target;
+        break;
+    case KeyStep::Mismatch:
+        result.status = 422;
+        result.reason = "the key was used for a different request";
+        break;
+    case KeyStep::Unavailable:
+        // This request did not run, but an earlier one with the key may have.
+        result.status = 503;
+        result.execution = Execution::Unknown;
+        result.reason = "the claim to the key could not be made";
+        result.retryAfter = ClaimRetryAfter;
+        break;
+    default:
+        result.status = 502;
+        result.execution = Execution::Unknown;
+        result.reason = "a request with this key may have run and its answer is not known";
+        break;
+    }
+    return result;
+}
+
+}
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -242,6 +242,9 @@
         m_result.status = refusal->status;
         m_result.reason = refusal->reason;
         m_result.retryAfter = std::chrono::milliseconds(refusal->retryAfterMs);
+        m_result.claimHeld = refusal->claimHeld;
+        m_result.ownerAddress = refusal->ownerAddress;
+        m_result.ownerTarget = refusal->ownerTarget;
         m_result.unreachable = refusal->targetFailed;
         takeLoad(refusal->load);
         m_finished = true;
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -116,10 +116,17 @@
 
     asio::awaitable<absl::Status> admitted(const LoadReport &load) override
     {
+        m_admittedSent = true;
         m_stream.queue(Admitted{m_requestId, load});
         co_return co_await m_stream.flush();
     }
 
+    /// Returns whether the other node was told to send the body.
+    bool admittedSent() const
+    {
+        return m_admittedSent;
+    }
+
     /// Notes that the exchange is about to end without an answer.
     void close()
     {
@@ -153,6 +160,7 @@
     std::size_t m_queued = 0;
     bool m_started = false;
     bool m_closed = false;
+    bool m_admittedSent = false;
 };
 
 /// Shows the other node that an exchange is alive until its answer starts.
@@ -210,6 +218,9 @@
     refusal.status = result.status;
     refusal.reason = result.reason;
     refusal.retryAfterMs = toWholeMilliseconds(result.retryAfter);
+    refusal.claimHeld = result.claimHeld;
+    refusal.ownerAddress = result.ownerAddress;
+    refusal.ownerTarget = result.ownerTarget;
     refusal.targetFailed = result.unreachable;
     refusal.load = result.load;
     return refusal;
@@ -302,6 +313,8 @@
             const TimePoint deadline = clock.now() + std::chrono::milliseconds(head.timeLeftMs);
             result = co_await backend->run(head, source, sink, progress, deadline);
         } else {
+            // A holder of a claim that has lost its target does not know what became of the key.
+            result.execution = head.toOwner ? Execution::Unknown : Execution::NotRun;
             result.status = 503;
             result.reason = "absent";
         }
@@ -311,7 +324,8 @@
         sink.close();
         stream.queue(toRefusal(head, result));
         const absl::Status status = co_await stream.flush();
-        const bool bodyAhead = head.bodyKind != BodyKind::None && result.execution != Execution::NotRun;
+        // A request that was refused before its admission has sent no body.
+        const bool bodyAhead = !source.atEnd() && sink.admittedSent();
         co_return status.ok() && !sink.started() && !bodyAhead;
     }
 
--- a/tests/process/processes.cpp
+++ b/tests/process/processes.cpp
@@ -197,11 +197,17 @@
                                      "--seed",
                                      std::to_string(m_nodes.size() + 1)};
     args.insert(args.end(), more.begin(), more.end());
+    node->args = args;
     node->process = std::make_unique<Process>(args, path(node->name + ".log"));
     m_nodes.push_back(std::move(node));
     return *m_nodes.back();
 }
 
+void Deployment::restart(NodeProcess &node)
+{
+    node.process = std::make_unique<Process>(node.args, path(node.name + ".log"));
+}
+
 Process &Deployment::addTarget(const NodeProcess &node, const std::string &name, const std::vector<std::string> &more)
 {
     std::vector<std::string> args = {"target", "--firm", "tipar", "--service", "redactie", "--name", name};
@@ -264,6 +270,24 @@
     return reply.value_or(HttpReply{0, "", ""});
 }
 
+HttpReply Deployment::save(const NodeProcess &node, const std::string &key, const std::string &body,
+                           const std::string &query)
+{
+    const std::string request
+        = fmt::format("POST /s/tipar/redactie/save{} HTTP/1.1\r\nHost: x\r\nIdempotency-Key: {}\r\n"
+                      "Connection: close\r\nContent-Length: {}\r\n\r\n{}",
+                      query, key, body.size(), body);
+    const std::string answer = rawExchange(node.callers, request, 8s);
+    HttpReply reply;
+    constexpr std::size_t StatusAt = 9;
+    constexpr std::size_t StatusDigits = 3;
+    reply.status
+        = answer.size() > StatusAt ? static_cast<std::uint16_t>(std::stoi(answer.substr(StatusAt, StatusDigits))) : 0;
+    const std::size_t end = answer.find("\r\n\r\n");
+    reply.body = end == std::string::npos ? "" : answer.substr(end + 4);
+    return reply;
+}
+
 std::size_t Deployment::usableTargets(const NodeProcess &node)
 {
     const auto reply = blockingHttpCall(node.admin, {"GET", "/v1/services", "", ""}, 2s);
--- a/tests/process/processes.h
+++ b/tests/process/processes.h
@@ -80,6 +80,7 @@
     Address callers; ///< Where callers connect.
     Address peers; ///< Where other nodes connect.
     Address admin; ///< Where targets announce themselves.
+    std::vector<std::string> args; ///< What it was started with.
     std::unique_ptr<Process> process; ///< The process.
 };
 
@@ -109,6 +110,13 @@
     HttpReply call(const NodeProcess &node, const std::string &method, const std::string &path,
                    const std::string &body = "");
 
+    /// Sends a save with an idempotency key.
+    HttpReply save(const NodeProcess &node, const std::string &key, const std::string &body,
+                   const std::string &query = "");
+
+    /// Starts the process of a node again with the same settings, after it was ended.
+    void restart(NodeProcess &node);
+
     /// Returns how many targets a node may choose from.
     std::size_t usableTargets(const NodeProcess &node);
 
