--- a/include/shallotrelay/membership/directory.h
+++ b/include/shallotrelay/membership/directory.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,7 @@
     struct NodeLease {
         std::uint64_t incarnation = 0;
         TimePoint lastReport;
+        std::set<std::string> keys; // of its targets, so that a report does not look at all listings
     };
     struct Change {
         std::uint64_t sequence = 0;
--- a/src/daemon/claimstore.cpp
+++ b/src/daemon/claimstore.cpp
@@ -44,7 +44,8 @@
             return record.status();
         }
         if (!isOld(*record, now)) {
-            store->m_claims[record->key] = *std::move(record);
+            const std::string key = record->key;
+            store->m_claims[key] = *std::move(record);
         }
     }
     return store;
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -103,7 +103,11 @@
     if (it != m_listings.end() && !isNewer(record, it->second.record)) {
         return false;
     }
+    if (it != m_listings.end() && it->second.node != node) {
+        m_nodes[it->second.node].keys.erase(key);
+    }
     m_listings[key] = {record, node};
+    m_nodes[node].keys.insert(key);
     noteChange(key);
     return true;
 }
@@ -114,25 +118,28 @@
     for (const TargetRecord &it : report.targets) {
         present.insert(targetKey(it));
     }
-    std::vector<std::string> missing;
-    for (const auto &it : m_listings) {
-        if (it.second.node == report.node && !present.contains(it.first)) {
-            missing.push_back(it.first);
+    std::set<std::string> &keys = m_nodes[report.node].keys;
+    bool changed = false;
+    for (auto it = keys.begin(); it != keys.end();) {
+        if (present.contains(*it)) {
+            ++it;
+            continue;
         }
+        m_listings.erase(*it);
+        noteChange(*it);
+        it = keys.erase(it);
+        changed = true;
     }
-    for (const std::string &it : missing) {
-        m_listings.erase(it);
-        noteChange(it);
-    }
-    return !missing.empty();
+    return changed;
 }
 
 bool Directory::removeNode(const std::string &node)
 {
     NodeReport nothing;
     nothing.node = node;
+    const bool changed = removeMissing(nothing);
     m_nodes.erase(node);
-    return removeMissing(nothing);
+    return changed;
 }
 
 void Directory::noteChange(const std::string &key)
--- a/src/standin/embeddedsystem.cpp
+++ b/src/standin/embeddedsystem.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint32_t ColdSlots = 2;
 constexpr std::uint32_t ColdRampMs = 500;
 constexpr std::uint32_t QueueWaitMs = 1000;
-const Address AnyPort{"127.0.0.1", 0};
+const Address anyPort{"127.0.0.1", 0};
 
 bool pollUntil(const std::function<bool()> &condition, Duration bound)
 {
@@ -81,8 +81,8 @@
         trust[it.name] = {{"keys", {m_keys[it.name].publicKey}}, {"threshold", 1}, {"data_centres", it.dataCentres}};
     }
     ControlSettings settings;
-    settings.listen = AnyPort;
-    settings.operatorListen = AnyPort;
+    settings.listen = anyPort;
+    settings.operatorListen = anyPort;
     settings.name = "control-1";
     settings.dataFolder = m_dataFolder;
     settings.lease = std::chrono::seconds(3);
@@ -116,9 +116,9 @@
     out->dataCentre = firm.dataCentres[index % firm.dataCentres.size()];
     auto node = parseNodeSettings({{"name", "node-" + out->name},
                                    {"data-centre", out->dataCentre},
-                                   {"listen", AnyPort.text()},
-                                   {"peer-listen", AnyPort.text()},
-                                   {"admin-listen", AnyPort.text()},
+                                   {"listen", anyPort.text()},
+                                   {"peer-listen", anyPort.text()},
+                                   {"admin-listen", anyPort.text()},
                                    {"control", m_control->nodeAddress().text()}});
     if (!node.ok()) {
         return node.status();
@@ -128,7 +128,7 @@
         return status;
     }
     TargetSettings target;
-    target.listen = AnyPort;
+    target.listen = anyPort;
     target.nodeAdmin = out->node->adminAddress();
     target.name = out->name;
     target.firm = firm.name;
--- a/tests/process/keytest.cpp
+++ b/tests/process/keytest.cpp
@@ -65,6 +65,7 @@
     TwoTargets system;
     std::atomic<int> right = 0;
     std::vector<std::thread> callers;
+    callers.reserve(16);
     for (int i = 0; i < 16; ++i) {
         callers.emplace_back([&, i] {
             const NodeProcess &node = i % 2 == 0 ? system.first : system.second;
--- a/tests/process/pathtest.cpp
+++ b/tests/process/pathtest.cpp
@@ -202,6 +202,7 @@
     std::this_thread::sleep_for(300ms);
     const std::string request = "GET /s/tipar/redactie/stubborn?work_ms=1500 HTTP/1.1\r\nHost: x\r\n\r\n";
     std::vector<std::thread> callers;
+    callers.reserve(60);
     for (int i = 0; i < 60; ++i) {
         callers.emplace_back([&] { rawExchange(node.callers, request, 30ms); });
     }
--- a/tests/process/processes.cpp
+++ b/tests/process/processes.cpp
@@ -80,6 +80,7 @@
     std::vector<std::string> all = {SHALLOTRELAY_BINARY};
     all.insert(all.end(), args.begin(), args.end());
     std::vector<char *> argv;
+    argv.reserve(all.size() + 1);
     for (std::string &it : all) {
         argv.push_back(it.data());
     }
--- a/tests/unit/keyledgertest.cpp
+++ b/tests/unit/keyledgertest.cpp
@@ -207,7 +207,7 @@
 
 TEST_CASE("Model check: in no schedule of resends, lost answers, refusals and restarts does a key run twice")
 {
-    constexpr int Depth = 9;
+    constexpr int Depth = 10;
     const Seen seen = explore(Model(), Depth);
     CHECK(seen.states > 1000000);
     CHECK(seen.doubleRuns == 0);
