--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -137,6 +137,7 @@
     for (const int n : {4, 8, 16, 32, 64}) {
         ServiceRouter router(RouterOptions{});
         std::vector<RouterTarget> targets;
+        targets.reserve(std::size_t(n));
         for (int i = 0; i < n; ++i) {
             targets.push_back({"t" + std::to_string(i), "brasov-a", 12, TargetState::Ready, true, "b"});
         }
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -3,6 +3,7 @@
 #include "daemon/claimstore.h"
 
 #include "net/framestream.h"
+#include "net/listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -64,6 +65,7 @@
         , log(l)
         , directory(settings.lease)
         , storeThread(1)
+        , listener(r, [this](asio::io_context &loop, tcp::socket socket) { take(loop, std::move(socket)); })
     {
     }
 
@@ -102,8 +104,7 @@
     std::set<std::shared_ptr<Session>> sessions;
     asio::thread_pool storeThread;
     std::unique_ptr<HttpServer> operators;
-    std::unique_ptr<tcp::acceptor> acceptor;
-    Address nodeAddress;
+    Listener listener;
 
     void wakeAll()
     {
@@ -113,19 +114,10 @@
         }
     }
 
-    static asio::awaitable<void> acceptAll(std::shared_ptr<Impl> self)
+    void take(asio::io_context &loop, tcp::socket socket)
     {
-        for (;;) {
-            asio::io_context &loop = self->runtime.next();
-            auto [ec, socket] = co_await self->acceptor->async_accept(loop, AsTuple);
-            if (ec == asio::error::operation_aborted) {
-                co_return;
-            }
-            if (ec || self->sessionCount() >= self->settings.maxNodes) {
-                co_await sleepFor(std::chrono::milliseconds(10));
-                continue;
-            }
-            asio::co_spawn(loop, serve(self, std::move(socket)), asio::detached);
+        if (sessionCount() < settings.maxNodes) {
+            asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
         }
     }
 
@@ -370,12 +362,9 @@
         return claims.status();
     }
     impl.claims = *std::move(claims);
-    auto acceptor = listenOn(impl.runtime.shard(0), impl.settings.listen);
-    if (!acceptor.ok()) {
-        return acceptor.status();
+    if (const absl::Status status = impl.listener.start(impl.settings.listen); !status.ok()) {
+        return status;
     }
-    impl.nodeAddress = {impl.settings.listen.host, acceptor->local_endpoint().port()};
-    impl.acceptor = std::make_unique<tcp::acceptor>(*std::move(acceptor));
     auto handler = [weak = std::weak_ptr(m_impl)](HttpRequest request) -> asio::awaitable<HttpReply> {
         const auto self = weak.lock();
         if (!self) {
@@ -388,14 +377,13 @@
     if (const absl::Status status = impl.operators->start(impl.settings.operatorListen); !status.ok()) {
         return status;
     }
-    asio::co_spawn(impl.runtime.shard(0), Impl::acceptAll(m_impl), asio::detached);
     asio::co_spawn(impl.runtime.shard(0), Impl::expireAll(m_impl), asio::detached);
     return absl::OkStatus();
 }
 
 Address ControlDaemon::nodeAddress() const
 {
-    return m_impl->nodeAddress;
+    return m_impl->listener.address();
 }
 
 Address ControlDaemon::operatorAddress() const
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -2,11 +2,11 @@
 
 #include "base/text.h"
 #include "net/doorsession.h"
+#include "net/listener.h"
 #include "shallotrelay/base/random.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 namespace shallotrelay
@@ -20,37 +20,20 @@
 }
 
 struct Door::Impl : std::enable_shared_from_this<Door::Impl> {
-    Impl(Runtime &r, DoorContext c)
-        : runtime(r)
-        , context(std::move(c))
+    Impl(Runtime &runtime, DoorContext c)
+        : context(std::move(c))
+        , listener(runtime, [this](asio::io_context &loop, tcp::socket socket) { take(loop, std::move(socket)); })
     {
     }
 
-    Runtime &runtime;
-    DoorContext context;
-    std::unique_ptr<tcp::acceptor> acceptor;
-    std::uint16_t port = 0;
-
-    asio::awaitable<void> acceptAll()
+    void take(asio::io_context &loop, tcp::socket socket)
     {
-        for (;;) {
-            asio::io_context &loop = runtime.next();
-            auto [ec, socket] = co_await acceptor->async_accept(loop, AsTuple);
-            if (ec == asio::error::operation_aborted) {
-                co_return;
-            }
-            if (ec) {
-                co_await sleepFor(std::chrono::milliseconds(10));
-                continue;
-            }
+        if (context.connections >= context.options.maxCallers) {
             boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            if (context.connections >= context.options.maxCallers) {
-                asio::write(socket, asio::buffer(TooManyCallers), ignored);
-                continue;
-            }
-            asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
+            asio::write(socket, asio::buffer(TooManyCallers), ignored);
+            return;
         }
+        asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
     }
 
     static asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
@@ -62,6 +45,9 @@
         }
         --self->context.connections;
     }
+
+    DoorContext context;
+    Listener listener;
 };
 
 Door::Door(Runtime &runtime, const Clock &clock, DoorOptions options, Dispatch dispatch)
@@ -76,31 +62,18 @@
 
 absl::Status Door::start(const Address &address)
 {
-    asio::io_context &loop = m_impl->runtime.shard(0);
-    auto acceptor = listenOn(loop, address);
-    if (!acceptor.ok()) {
-        return acceptor.status();
-    }
-    m_impl->port = acceptor->local_endpoint().port();
-    m_impl->acceptor = std::make_unique<tcp::acceptor>(*std::move(acceptor));
-    auto run = [](std::shared_ptr<Impl> impl) -> asio::awaitable<void> { co_await impl->acceptAll(); };
-    asio::co_spawn(loop, run(m_impl), asio::detached);
-    return absl::OkStatus();
+    return m_impl->listener.start(address);
 }
 
 std::uint16_t Door::port() const
 {
-    return m_impl->port;
+    return m_impl->listener.address().port;
 }
 
 void Door::drain()
 {
     m_impl->context.draining = true;
-    asio::post(m_impl->runtime.shard(0), [impl = m_impl] {
-        if (impl->acceptor) {
-            impl->acceptor->close();
-        }
-    });
+    m_impl->listener.stop();
 }
 
 std::size_t Door::inProgress() const
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,8 +1,9 @@
 #include "net/httpserver.h"
 
+#include "net/listener.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -49,34 +50,18 @@
 }
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(Runtime &r, std::size_t maxBody, Handler h)
-        : runtime(r)
-        , maxBodyBytes(maxBody)
+    Impl(Runtime &runtime, std::size_t maxBody, Handler h)
+        : maxBodyBytes(maxBody)
         , handler(std::move(h))
+        , listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
+            asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
+        })
     {
     }
 
-    Runtime &runtime;
     std::size_t maxBodyBytes;
     Handler handler;
-    std::unique_ptr<tcp::acceptor> acceptor;
-    std::uint16_t port = 0;
-
-    static asio::awaitable<void> acceptAll(std::shared_ptr<Impl> self)
-    {
-        for (;;) {
-            asio::io_context &loop = self->runtime.next();
-            auto [ec, socket] = co_await self->acceptor->async_accept(loop, AsTuple);
-            if (ec == asio::error::operation_aborted) {
-                co_return;
-            }
-            if (!ec) {
-                asio::co_spawn(loop, serve(self, std::move(socket)), asio::detached);
-            } else {
-                co_await sleepFor(std::chrono::milliseconds(10));
-            }
-        }
-    }
+    Listener listener;
 
     static asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
     {
@@ -119,29 +104,17 @@
 
 absl::Status HttpServer::start(const Address &address)
 {
-    asio::io_context &loop = m_impl->runtime.shard(0);
-    auto acceptor = listenOn(loop, address);
-    if (!acceptor.ok()) {
-        return acceptor.status();
-    }
-    m_impl->port = acceptor->local_endpoint().port();
-    m_impl->acceptor = std::make_unique<tcp::acceptor>(*std::move(acceptor));
-    asio::co_spawn(loop, Impl::acceptAll(m_impl), asio::detached);
-    return absl::OkStatus();
+    return m_impl->listener.start(address);
 }
 
 std::uint16_t HttpServer::port() const
 {
-    return m_impl->port;
+    return m_impl->listener.address().port;
 }
 
 void HttpServer::stop()
 {
-    asio::post(m_impl->runtime.shard(0), [impl = m_impl] {
-        if (impl->acceptor) {
-            impl->acceptor->close();
-        }
-    });
+    m_impl->listener.stop();
 }
 
 asio::awaitable<absl::StatusOr<HttpReply>> httpCall(Address address, HttpRequest request, Duration timeout)
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -1,10 +1,10 @@
 #include "net/framestream.h"
+#include "net/listener.h"
 #include "net/peerprotocol.h"
 #include "net/stopsource.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include <atomic>
@@ -229,39 +229,21 @@
 }
 
 struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl> {
-    Impl(Runtime &r, const Clock &c, Duration stall, FindTarget find)
-        : runtime(r)
-        , clock(c)
+    Impl(Runtime &runtime, const Clock &c, Duration stall, FindTarget find)
+        : clock(c)
         , stallTimeout(stall)
         , findTarget(std::move(find))
+        , listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
+            asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
+        })
     {
     }
 
-    Runtime &runtime;
     const Clock &clock;
     Duration stallTimeout;
     FindTarget findTarget;
-    std::unique_ptr<tcp::acceptor> acceptor;
-    std::uint16_t port = 0;
     std::atomic<std::size_t> inProgress = 0;
-
-    asio::awaitable<void> acceptAll()
-    {
-        for (;;) {
-            asio::io_context &loop = runtime.next();
-            auto [ec, socket] = co_await acceptor->async_accept(loop, AsTuple);
-            if (ec == asio::error::operation_aborted) {
-                co_return;
-            }
-            if (ec) {
-                co_await sleepFor(std::chrono::milliseconds(10));
-                continue;
-            }
-            boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
-        }
-    }
+    Listener listener;
 
     static asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
     {
@@ -356,30 +338,17 @@
 
 absl::Status PeerServer::start(const Address &address)
 {
-    asio::io_context &loop = m_impl->runtime.shard(0);
-    auto acceptor = listenOn(loop, address);
-    if (!acceptor.ok()) {
-        return acceptor.status();
-    }
-    m_impl->port = acceptor->local_endpoint().port();
-    m_impl->acceptor = std::make_unique<tcp::acceptor>(*std::move(acceptor));
-    auto run = [](std::shared_ptr<Impl> impl) -> asio::awaitable<void> { co_await impl->acceptAll(); };
-    asio::co_spawn(loop, run(m_impl), asio::detached);
-    return absl::OkStatus();
+    return m_impl->listener.start(address);
 }
 
 std::uint16_t PeerServer::port() const
 {
-    return m_impl->port;
+    return m_impl->listener.address().port;
 }
 
 void PeerServer::stopAccepting()
 {
-    asio::post(m_impl->runtime.shard(0), [impl = m_impl] {
-        if (impl->acceptor) {
-            impl->acceptor->close();
-        }
-    });
+    m_impl->listener.stop();
 }
 
 std::size_t PeerServer::inProgress() const
--- a/src/standin/standintarget.cpp
+++ b/src/standin/standintarget.cpp
@@ -1,6 +1,7 @@
 #include "standin/standintarget.h"
 
 #include "net/httpserver.h"
+#include "net/listener.h"
 #include "shallotrelay/base/random.h"
 
 #include <absl/strings/numbers.h>
@@ -87,6 +88,9 @@
         , random(std::random_device{}())
         , bootId(randomId(random))
         , started(clock.now())
+        , listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
+            asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
+        })
     {
         if (!settings.journal.empty()) {
             journal.open(settings.journal, std::ios::app);
@@ -104,8 +108,7 @@
     bool stopped = false;
     StandInCounts counts;
     std::ofstream journal;
-    std::unique_ptr<tcp::acceptor> acceptor;
-    Address address;
+    Listener listener;
 
     bool cold() const
     {
@@ -117,7 +120,7 @@
         const std::lock_guard lock(mutex);
         const char *state = leaving ? "leaving" : (cold() ? "cold" : "ready");
         const nlohmann::json json = {{"firm", settings.firm},   {"service", settings.service},
-                                     {"name", settings.name},   {"address", address.text()},
+                                     {"name", settings.name},   {"address", listener.address().text()},
                                      {"boot_id", bootId},       {"state", state},
                                      {"slots", settings.slots}, {"connections", settings.connections}};
         return json.dump();
@@ -140,23 +143,6 @@
         co_await httpCall(settings.nodeAdmin, std::move(request), std::chrono::seconds(1));
     }
 
-    static asio::awaitable<void> acceptAll(std::shared_ptr<Impl> self)
-    {
-        for (;;) {
-            asio::io_context &loop = self->runtime.next();
-            auto [ec, socket] = co_await self->acceptor->async_accept(loop, AsTuple);
-            if (ec == asio::error::operation_aborted) {
-                co_return;
-            }
-            if (ec) {
-                continue;
-            }
-            boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            asio::co_spawn(loop, serve(self, std::move(socket)), asio::detached);
-        }
-    }
-
     static asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
     {
         self->noteConnection(1);
@@ -304,15 +290,10 @@
 
 absl::Status StandInTarget::start()
 {
-    asio::io_context &loop = m_impl->runtime.shard(0);
-    auto acceptor = listenOn(loop, m_impl->settings.listen);
-    if (!acceptor.ok()) {
-        return acceptor.status();
+    if (const absl::Status status = m_impl->listener.start(m_impl->settings.listen); !status.ok()) {
+        return status;
     }
-    m_impl->address = {m_impl->settings.listen.host, acceptor->local_endpoint().port()};
-    m_impl->acceptor = std::make_unique<tcp::acceptor>(*std::move(acceptor));
-    asio::co_spawn(loop, Impl::acceptAll(m_impl), asio::detached);
-    asio::co_spawn(loop, Impl::announceAll(m_impl), asio::detached);
+    asio::co_spawn(m_impl->runtime.shard(0), Impl::announceAll(m_impl), asio::detached);
     return absl::OkStatus();
 }
 
--- a/tests/process/pathtest.cpp
+++ b/tests/process/pathtest.cpp
@@ -157,6 +157,28 @@
     CHECK(nodes.near.process->residentBytes() < 32 * 1024 * 1024);
 }
 
+TEST_CASE("A slow head and an idle connection are closed, and a caller beyond the bound is refused")
+{
+    Deployment deployment;
+    const NodeProcess &node
+        = deployment.addNode("brasov-a", {"--head-timeout", "200ms", "--idle-timeout", "400ms", "--max-callers", "2"});
+    REQUIRE(eventually([&] { return rawExchange(node.callers, "x\r\n\r\n").find("HTTP/1.1 400") == 0; }));
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(rawExchange(node.callers, "GET / HTTP/1.1\r\nHost: x", 8s).empty());
+    CHECK(rawExchange(node.callers, "", 8s).empty());
+    CHECK(std::chrono::steady_clock::now() - start < 6s);
+    std::vector<std::thread> idle;
+    idle.reserve(2);
+    for (int i = 0; i < 2; ++i) {
+        idle.emplace_back([&] { rawExchange(node.callers, "", 2s); });
+    }
+    const auto refused = [&] { return rawExchange(node.callers, "", 100ms).find("HTTP/1.1 503") == 0; };
+    CHECK(eventually(refused, 350ms));
+    for (std::thread &it : idle) {
+        it.join();
+    }
+}
+
 TEST_CASE("HEAD, HTTP/1.0, pipelining and 100-continue behave as HTTP users expect")
 {
     TwoNodes nodes;
