Claims that wait share one sync

Cause: each claim to an idempotency key was synced by itself, so that the disk bounded keyed saves. Ruled out: the ledger at the node, which takes microseconds.

--- a/include/shallotrelay/storage/recordlog.h
+++ b/include/shallotrelay/storage/recordlog.h
@@ -38,6 +38,9 @@
     /// Writes a record and syncs it; OK means that it survives a crash.
     absl::Status append(std::string_view record);
 
+    /// Writes some records and syncs them together; OK means that all of them survive a crash.
+    absl::Status appendAll(const std::vector<std::string> &records);
+
 private:
     RecordLog(int fd, std::string path);
 
--- a/src/daemon/claimstore.cpp
+++ b/src/daemon/claimstore.cpp
@@ -52,23 +52,42 @@
 }
 
 ClaimAnswer ClaimStore::claim(const ClaimRequest &request)
+{
+    return claimAll({request}).front();
+}
+
+std::vector<ClaimAnswer> ClaimStore::claimAll(const std::vector<ClaimRequest> &requests)
 {
     const std::lock_guard lock(m_mutex);
     const std::uint64_t now = wallClockMs();
-    const auto it = m_claims.find(request.key);
-    if (it != m_claims.end() && !isOld(it->second, now)) {
-        return answerOf(request, it->second, false);
+    std::map<std::string, ClaimRecord> granted;
+    std::vector<std::string> records;
+    std::vector<ClaimAnswer> answers;
+    for (const ClaimRequest &it : requests) {
+        const auto held = m_claims.find(it.key);
+        const auto first = granted.find(it.key);
+        if (held != m_claims.end() && !isOld(held->second, now)) {
+            answers.push_back(answerOf(it, held->second, false));
+        } else if (first != granted.end()) {
+            answers.push_back(answerOf(it, first->second, false));
+        } else {
+            const ClaimRecord record{now, it.key, it.ownerAddress, it.ownerTarget, it.incarnation};
+            granted[it.key] = record;
+            records.push_back(encodeFrame(record).substr(FrameHeaderBytes));
+            answers.push_back(answerOf(it, record, true));
+        }
+    }
+    if (!records.empty() && !m_log->appendAll(records).ok()) {
+        // Which of the claims are on the disk is not known, so that none of them may be told.
+        for (ClaimAnswer &it : answers) {
+            it = ClaimAnswer{it.id, false, true, "", "", 0};
+        }
+        return answers;
     }
-    const ClaimRecord record{now, request.key, request.ownerAddress, request.ownerTarget, request.incarnation};
-    const std::string frame = encodeFrame(record);
-    if (!m_log->append(std::string_view(frame).substr(FrameHeaderBytes)).ok()) {
-        ClaimAnswer failed;
-        failed.id = request.id;
-        failed.failed = true;
-        return failed;
+    for (const auto &it : granted) {
+        m_claims[it.first] = it.second;
     }
-    m_claims[request.key] = record;
-    return answerOf(request, record, true);
+    return answers;
 }
 
 std::size_t ClaimStore::size() const
--- a/src/daemon/claimstore.h
+++ b/src/daemon/claimstore.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace shallotrelay
 {
@@ -26,6 +27,9 @@
     /// Grants the claim to the one that asks first, or tells who holds it; returns only once the answer is durable.
     ClaimAnswer claim(const ClaimRequest &request);
 
+    /// Decides on some claims with one sync for all of them; returns the answers in the same order.
+    std::vector<ClaimAnswer> claimAll(const std::vector<ClaimRequest> &requests);
+
     /// Returns how many claims are held.
     std::size_t size() const;
 
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 
 #include <mutex>
+#include <optional>
 #include <set>
 
 namespace shallotrelay
@@ -91,6 +92,8 @@
         std::map<std::string, std::uint64_t> sentRevisions;
     };
 
+    struct WaitingClaim;
+
     Runtime &runtime;
     const Clock &clock;
     ControlSettings settings;
@@ -98,6 +101,8 @@
     Metrics metrics;
     std::unique_ptr<BundleStore> store;
     std::unique_ptr<ClaimStore> claims;
+    std::mutex claimsMutex;
+    std::vector<std::shared_ptr<WaitingClaim>> waitingClaims;
     std::mutex directoryMutex;
     Directory directory;
     std::mutex sessionsMutex;
@@ -173,13 +178,49 @@
         }
     }
 
-    /// Makes a claim on the thread that may wait for the disk.
+    /// A claim that waits for the thread that may wait for the disk.
+    struct WaitingClaim {
+        ClaimRequest request;
+        std::optional<ClaimAnswer> answer;
+    };
+
+    /// Makes a claim; all claims that wait at the same time share one sync.
     asio::awaitable<ClaimAnswer> claim(const ClaimRequest &request)
     {
-        auto work = [this, &request]() -> asio::awaitable<ClaimAnswer> { co_return claims->claim(request); };
+        const auto waiting = std::make_shared<WaitingClaim>();
+        waiting->request = request;
+        {
+            const std::lock_guard lock(claimsMutex);
+            waitingClaims.push_back(waiting);
+        }
+        auto work = [this, waiting]() -> asio::awaitable<ClaimAnswer> {
+            if (!waiting->answer) {
+                decideWaitingClaims();
+            }
+            co_return *waiting->answer;
+        };
         co_return co_await asio::co_spawn(storeThread, work(), asio::use_awaitable);
     }
 
+    /// Decides on all claims that wait; runs on the store's thread only.
+    void decideWaitingClaims()
+    {
+        std::vector<std::shared_ptr<WaitingClaim>> batch;
+        {
+            const std::lock_guard lock(claimsMutex);
+            batch.swap(waitingClaims);
+        }
+        std::vector<ClaimRequest> requests;
+        requests.reserve(batch.size());
+        for (const auto &it : batch) {
+            requests.push_back(it->request);
+        }
+        const std::vector<ClaimAnswer> answers = claims->claimAll(requests);
+        for (std::size_t i = 0; i < batch.size(); ++i) {
+            batch[i]->answer = answers[i];
+        }
+    }
+
     bool takeReport(const NodeReport &report)
     {
         const std::lock_guard lock(directoryMutex);
--- a/src/storage/recordlog.cpp
+++ b/src/storage/recordlog.cpp
@@ -171,17 +171,24 @@
 }
 
 absl::Status RecordLog::append(std::string_view record)
+{
+    return appendAll({std::string(record)});
+}
+
+absl::Status RecordLog::appendAll(const std::vector<std::string> &records)
 {
     if (m_broken) {
         return absl::DataLossError(m_path + " failed before; restart to recover");
     }
-    if (record.size() > MaxRecordBytes) {
-        return absl::InvalidArgumentError("the record is too large");
+    std::string bytes;
+    for (const std::string &it : records) {
+        if (it.size() > MaxRecordBytes) {
+            return absl::InvalidArgumentError("the record is too large");
+        }
+        const RecordHeader header = headerOf(it);
+        bytes.append(reinterpret_cast<const char *>(&header), sizeof header);
+        bytes.append(it);
     }
-    const RecordHeader header = headerOf(record);
-    std::string bytes(sizeof header, '\0');
-    std::memcpy(bytes.data(), &header, sizeof header);
-    bytes.append(record);
     if (!writeAll(m_fd, bytes)) {
         return fail("cannot write");
     }
