A read goes on at another target when the one that froze has left the list

Cause: a call gave up when as many targets were usable as it had tried, also when the tried one was no longer among them.

--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -97,6 +97,9 @@
     /// Returns how many targets may take work.
     std::size_t usableTargets() const;
 
+    /// Returns whether a target that is not excluded may take work.
+    bool hasTargetBeside(const std::set<std::string> &excluded) const;
+
 private:
     struct Entry {
         RouterTarget target;
--- a/src/routing/callplan.cpp
+++ b/src/routing/callplan.cpp
@@ -58,7 +58,7 @@
 
 bool CallPlan::dropsAnswer(const TryEnd &end, const ServiceRouter &router, RetryBudget &budget)
 {
-    if (end.status < FirstServerError || end.status == NotImplemented || router.usableTargets() <= m_excluded.size()) {
+    if (end.status < FirstServerError || end.status == NotImplemented || !router.hasTargetBeside(m_excluded)) {
         return false;
     }
     m_retryGranted = decide(end, budget) == RetryDecision::Retry;
@@ -70,7 +70,7 @@
     if (m_retryGranted) {
         return true;
     }
-    if (router.usableTargets() <= m_excluded.size()) {
+    if (!router.hasTargetBeside(m_excluded)) {
         return false;
     }
     const RetryDecision decision = decide(end, budget);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -253,6 +253,12 @@
     }
 }
 
+bool ServiceRouter::hasTargetBeside(const std::set<std::string> &excluded) const
+{
+    const auto usable = [&](const auto &it) { return mayTakeWork(it.second) && !excluded.contains(it.first); };
+    return std::any_of(m_entries.begin(), m_entries.end(), usable);
+}
+
 std::size_t ServiceRouter::usableTargets() const
 {
     const auto usable = [&](const auto &it) { return mayTakeWork(it.second); };
--- a/tests/unit/routertest.cpp
+++ b/tests/unit/routertest.cpp
@@ -222,3 +222,19 @@
     CHECK(plan.overall(Execution::NotRun) == Execution::Unknown);
     CHECK(plan.overall(Execution::Ran) == Execution::Ran);
 }
+
+TEST_CASE("A call goes on at another target also when the one that failed has left the list meanwhile")
+{
+    ServiceRouter router = routerOver(2);
+    RetryBudget budget(10);
+    Random random(1);
+    CallPlan plan("GET", false);
+    const std::string failed = plan.next(router, budget, random, at(0s))->choice.target;
+    const std::string other = failed == "t1" ? "t2" : "t1";
+    router.setTargets({{other, "brasov-a", 12, TargetState::Ready, true, "boot"}}, at(2s));
+    TryEnd lost;
+    lost.execution = Execution::Unknown;
+    lost.timeLeft = 1s;
+    REQUIRE(plan.goesOn(lost, router, budget));
+    CHECK(plan.next(router, budget, random, at(2s))->choice.target == other);
+}
