--- a/include/shallotrelay/bundle/bundle.h
+++ b/include/shallotrelay/bundle/bundle.h
@@ -42,8 +42,6 @@
     std::uint32_t queueLength = 0; ///< Requests that may wait at a guard.
     Duration queueWait{}; ///< Longest time that a request waits at a guard.
     std::uint32_t retryPercent = 0; ///< Retries in percent of first tries.
-    std::uint32_t hedgePercent = 0; ///< Hedges in percent of first tries; 0 for none.
-    std::uint32_t probePerMille = 0; ///< Share of a slot's time that probes may take, in thousandths.
 
     bool operator==(const ServicePolicy &other) const = default;
 
--- a/src/bundle/bundle.cpp
+++ b/src/bundle/bundle.cpp
@@ -22,7 +22,6 @@
 constexpr std::uint64_t MaxQueueWaitMs = 60 * 1000;
 constexpr std::uint64_t MaxEntries = 4096;
 constexpr std::uint64_t DefaultRetryPercent = 10;
-constexpr std::uint64_t DefaultProbePerMille = 10;
 
 TargetBounds readBounds(ObjectReader &reader)
 {
@@ -117,9 +116,6 @@
     readQueue(reader.objectOr("queue"), reader.pathOf("queue"), &policy, status);
     readTargetBounds(reader.objectOr("targets"), reader.pathOf("targets"), &policy, status);
     policy.retryPercent = static_cast<std::uint32_t>(reader.numberOr("retry_percent", DefaultRetryPercent, 0, 100));
-    policy.hedgePercent = static_cast<std::uint32_t>(reader.numberOr("hedge_percent", 0, 0, 20));
-    policy.probePerMille
-        = static_cast<std::uint32_t>(reader.numberOr("probe_per_mille", DefaultProbePerMille, 0, 1000));
     reader.refuseOthers();
     return policy;
 }
