--- a/examples/embedding.cpp
+++ b/examples/embedding.cpp
@@ -33,7 +33,7 @@
     Random random(1);
     int admitted = 0;
     for (GuardTicket ticket = 1; ticket <= 30; ++ticket) {
-        CallPlan plan("GET", false);
+        CallPlan plan({.repeatable = true});
         while (const auto planned = plan.next(router, budget, random, now)) {
             Guard &guard = guards[planned->choice.target];
             const GuardAnswer answer = guard.offer({ticket, now + 1s, false}, now);
--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -13,21 +13,20 @@
 ///     GuardAnswer answer = guard.offer({ticket, deadline, true}, now);
 #pragma once
 
+#include "shallotrelay/admission/waitingline.h"
 #include "shallotrelay/base/clock.h"
+#include "shallotrelay/guard/coldrate.h"
 #include "shallotrelay/messages.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace shallotrelay
 {
 
-/// Identifies a request at one guard.
-using GuardTicket = std::uint64_t;
-
 /// What the bundle says about a target.
 struct GuardPolicy {
     bool served = false; ///< Whether the bundle lets the target serve, with its data centre in service.
@@ -39,6 +38,8 @@
     std::uint32_t queueLength = 0; ///< Requests that may wait.
     Duration queueWait{}; ///< Longest time that a request waits.
     std::uint64_t revision = 0; ///< Revision of the bundle.
+    double coldPerSecond = 0; ///< Starts a second in cold start; 0 means no bound.
+    Duration coldTime{}; ///< Time that a restarted target stays cold unless it tells otherwise.
 
     bool operator==(const GuardPolicy &other) const = default;
 };
@@ -49,6 +50,7 @@
     TargetState state = TargetState::Cold; ///< Its state.
     std::uint32_t slots = 0; ///< Requests at once that it says it bears.
     std::uint32_t connections = 0; ///< Connections at once that it says it bears.
+    std::optional<Duration> coldLeft{}; ///< How much longer it stays cold, if it tells.
 };
 
 /// A request that asks for admission.
@@ -56,14 +58,19 @@
     GuardTicket ticket = 0; ///< Chosen by the user, different for each request.
     TimePoint deadline; ///< After this its caller takes no answer.
     bool mayQueue = false; ///< Whether it may wait.
+    std::uint32_t priority = 0; ///< Rank; 0 is the most urgent.
+    TimePoint objective = TimePoint::max(); ///< An answer is wanted by then.
+    std::string route{}; ///< Requests of one route take about the same time.
 };
 
 /// Why a request was not admitted.
 enum class GuardRefusal {
     None, ///< It was not refused.
     AtLimit, ///< The target has as much as it bears.
+    TooLate, ///< It would wait longer than its objective or deadline allows.
     QueueFull, ///< As many requests wait as may.
     Leaving, ///< The target is leaving.
+    Held, ///< The target cannot be reached at present.
     NotServed, ///< The bundle does not let the target serve.
     Absent, ///< No target announced itself.
     Expired, ///< The deadline passed before the request could start.
@@ -111,9 +118,18 @@
     /// Notes that the announcement ended without renewal.
     GuardRelease announcementEnded(TimePoint now);
 
+    /// Refuses all requests until a point in time; a point that has passed ends this.
+    void holdUntil(TimePoint until);
+
     /// Notes a sign that the target restarted without warning, such as a refused connection.
     void suspectRestart(TimePoint now);
 
+    /// Notes how long work takes on the VM of the target at present, in percent of the usual time.
+    void setPace(std::uint32_t percent, TimePoint now);
+
+    /// Returns whether the target is in cold start as far as is known.
+    bool cold(TimePoint now) const;
+
     /// Asks for admission of a request.
     GuardAnswer offer(const GuardOffer &offer, TimePoint now);
 
@@ -146,19 +162,20 @@
     std::uint32_t queued() const;
 
 private:
-    struct Waiting {
-        GuardTicket ticket = 0;
-        TimePoint giveUp;
-    };
     struct Running {
         TimePoint start;
         bool headSeen = false;
+        std::string route;
     };
 
     GuardRefusal standingRefusal() const;
     std::uint32_t fullLimit() const;
     std::uint32_t rampLimit(TimePoint now) const;
     Duration retryAfter() const;
+    void start(GuardTicket ticket, const std::string &route, TimePoint now);
+    bool mayStart(TimePoint now);
+    Duration expectedWork(const std::string &route) const;
+    ServiceRate rate(TimePoint now) const;
     GuardRelease releaseWaiting(TimePoint now);
     GuardRelease refuseAllWaiting();
     void learnLatency(const GuardOutcome &outcome, TimePoint now);
@@ -173,7 +190,13 @@
     TimePoint m_readySince;
     std::uint32_t m_rampFrom = 0;
     std::map<GuardTicket, Running> m_running;
-    std::deque<Waiting> m_waiting;
+    WaitingLine m_waiting;
+    std::map<GuardTicket, std::string> m_waitingRoutes;
+    std::map<std::string, double> m_workByRoute; // seconds, average by route
+    ColdRate m_coldRate;
+    TimePoint m_coldUntil;
+    TimePoint m_heldUntil;
+    std::uint32_t m_pacePercent = 0;
     double m_baselineLatency = 0; // seconds, slow average while the target is healthy
     double m_recentLatency = 0; // seconds, fast average
     double m_failureShare = 0;
--- a/include/shallotrelay/membership/directory.h
+++ b/include/shallotrelay/membership/directory.h
@@ -79,6 +79,9 @@
     /// Takes in an update of a control VM, which is named by any text that identifies it.
     void apply(const std::string &source, const DirectoryUpdate &update);
 
+    /// Forgets what a control VM told.
+    void drop(const std::string &source);
+
     /// Returns the sequence that was applied from a control VM, 0 if none.
     std::uint64_t sequenceOf(const std::string &source) const;
 
--- a/include/shallotrelay/retry/retry.h
+++ b/include/shallotrelay/retry/retry.h
@@ -1,8 +1,9 @@
 /// Retries: what may be tried again, and how often.
 ///
-/// A refusal that proves that the request did not run may be tried at another target. A request that may have run is
-/// tried again only if its method is safe (RFC 9110, section 9.2.1), only within the budget of its service, and only if
-/// no earlier hop of the same call was itself a retry.
+/// A refusal that proves that the request did not run may be tried at another target; if the request was sent to the
+/// target that rejected it, the new try comes out of the budget of its service, since it is work for the targets, too. A
+/// request that may have run is tried again only if it is repeatable, only within the budget, and only if no earlier hop
+/// of the same call was itself a retry.
 #pragma once
 
 #include "shallotrelay/base/clock.h"
@@ -18,7 +19,10 @@
 /// Request header field that marks a call below a retry; targets pass it on with the calls they make.
 inline constexpr std::string_view RetryHeader = "Shallotrelay-Retry";
 
-/// Most targets that one request is offered to.
+/// Most guards that one request is offered to.
+inline constexpr std::uint32_t MaxOffers = 4;
+
+/// Most targets that one request is sent to, unless its route says otherwise.
 inline constexpr std::uint32_t MaxTries = 3;
 
 /// Returns whether a method is safe, so that running it twice changes nothing.
@@ -34,6 +38,9 @@
     /// Changes the share; what was saved up stays, up to the bound.
     void setPercent(std::uint32_t percent);
 
+    /// Sets how many retries can be saved up; what is saved beyond it is lost.
+    void setBurst(double retries);
+
     /// Notes a first try.
     void firstTry();
 
@@ -42,17 +49,21 @@
 
 private:
     double m_percent;
+    double m_burst;
     double m_saved;
 };
 
 /// What the system knows of a request when a try ended without a whole answer, or with a server error.
 struct TryFailure {
     Execution execution = Execution::Unknown; ///< Whether the request ran.
+    bool reachedTarget = false; ///< Whether the request was sent to the target.
     bool bodyReplayable = true; ///< Whether the request body can be sent again from its start.
     bool answerStarted = false; ///< Whether a part of an answer went to the caller.
-    std::uint32_t tries = 1; ///< Tries so far.
+    std::uint32_t offers = 1; ///< Guards that it was offered to so far.
+    std::uint32_t targets = 0; ///< Targets that it was sent to so far.
+    std::uint32_t maxTargets = MaxTries; ///< Targets that it may be sent to.
     bool belowRetry = false; ///< Whether an earlier hop of the call was a retry.
-    std::string method; ///< The HTTP method.
+    bool repeatable = false; ///< Whether it may run more than once.
     Duration timeLeft{}; ///< Time until the deadline.
 };
 
@@ -60,7 +71,7 @@
 enum class RetryDecision {
     GiveUp, ///< Answer the caller now.
     TryAnother, ///< Offer it to another target; it did not run.
-    Retry, ///< Run it once more at another target, out of the budget.
+    Retry, ///< Send it to another target, out of the budget.
 };
 
 /// Decides what to do after a failed try; takes from the budget if the decision is Retry.
--- a/include/shallotrelay/routing/callplan.h
+++ b/include/shallotrelay/routing/callplan.h
@@ -4,7 +4,7 @@
 /// ended; the daemons and the scenarios in virtual time share it. The router and the budget belong to the service; hold
 /// their lock around each call.
 ///
-///     CallPlan plan("GET", false);
+///     CallPlan plan({.repeatable = true});
 ///     while (auto planned = plan.next(router, budget, random, now)) {
 ///         TryEnd end = run(*planned);
 ///         if (end.whole || !plan.goesOn(end, router, budget)) break;
@@ -43,18 +43,27 @@
 struct TryEnd {
     bool whole = false; ///< Whether the whole answer came.
     Execution execution = Execution::NotRun; ///< Whether the request ran.
+    bool reachedTarget = false; ///< Whether the request was sent to the target.
     std::uint16_t status = 0; ///< Status of the answer, if there was one.
     bool answerStarted = false; ///< Whether a part of an answer went to the caller.
     bool bodyTouched = false; ///< Whether a part of the request body was used up.
     Duration timeLeft{}; ///< Time until the deadline.
 };
 
+/// What may be done with a call.
+struct CallRules {
+    bool repeatable = false; ///< Whether it may run more than once.
+    bool belowRetry = false; ///< Whether an earlier hop of the call was a retry.
+    std::uint32_t maxTargets = MaxTries; ///< Targets that it may be sent to.
+    Duration work{}; ///< Expected time at a target, zero if unknown.
+    bool alwaysQueues = false; ///< Whether each guard may let it wait if it can still be in time.
+};
+
 /// Plans the tries of one call.
 class CallPlan
 {
 public:
-    /// Takes the method, and whether an earlier hop of the call was a retry.
-    CallPlan(std::string method, bool belowRetry);
+    explicit CallPlan(CallRules rules);
 
     /// Chooses the next target and tells the router that the try starts; none if there is no target left.
     std::optional<PlannedTry> next(ServiceRouter &router, RetryBudget &budget, Random &random, TimePoint now);
@@ -78,11 +87,11 @@
 private:
     RetryDecision decide(const TryEnd &end, RetryBudget &budget);
 
-    std::string m_method;
-    bool m_belowRetry;
+    CallRules m_rules;
     bool m_retryGranted = false;
     Execution m_earlier = Execution::NotRun;
-    std::uint32_t m_tries = 0;
+    std::uint32_t m_offers = 0;
+    std::uint32_t m_targets = 0;
     std::set<std::string> m_excluded;
 };
 
--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -34,6 +34,7 @@
     WeightedFree, ///< Draw by estimated free slots, health and latency.
     PowerOfTwo, ///< Draw two at random and take the one with the lower estimated load.
     UniformRandom, ///< Draw at random; the naive baseline.
+    EarliestFinish, ///< Take the target that is expected to finish first; needs load reports several times a second.
 };
 
 /// How a router behaves.
@@ -83,7 +84,9 @@
     void setTargets(const std::vector<RouterTarget> &targets, TimePoint now);
 
     /// Chooses a target that is not excluded, or none if no target may take work.
-    std::optional<RouterChoice> choose(const std::set<std::string> &excluded, TimePoint now, Random &random) const;
+    /// The expected work helps to weigh a wait against a slow VM; zero if it is unknown.
+    std::optional<RouterChoice> choose(const std::set<std::string> &excluded, TimePoint now, Random &random,
+                                       Duration work = {}) const;
 
     /// Notes that a try starts.
     void started(const std::string &target, TimePoint now);
@@ -115,6 +118,7 @@
         double utilisation = 0;
         double failureShare = 0;
         double latency = 0; // seconds, median
+        double pace = 1; // time that work takes relative to the usual time
     };
     struct Candidate {
         const Entry *entry = nullptr;
@@ -128,6 +132,9 @@
     double estimateInFlight(const Entry &entry, const Averages &averages, TimePoint now) const;
     double failureShareOf(const Entry &entry, TimePoint now) const;
     double weightOf(const Entry &entry, double estimate, const Averages &averages, TimePoint now) const;
+    double finishTime(const Entry &entry, double estimate, const Averages &averages, Duration work,
+                      TimePoint now) const;
+    double paceOf(const Entry &entry, const Averages &averages, TimePoint now) const;
     const Candidate &draw(const std::vector<Candidate> &candidates, Random &random) const;
     RouterChoice toChoice(const Candidate &candidate, std::size_t candidates) const;
 
--- a/src/bundle/bundle.cpp
+++ b/src/bundle/bundle.cpp
@@ -4,6 +4,7 @@
 #include "bundle/jsonreader.h"
 #include "shallotrelay/base/name.h"
 
+#include <absl/strings/ascii.h>
 #include <fmt/format.h>
 
 namespace shallotrelay
@@ -22,6 +23,12 @@
 constexpr std::uint64_t MaxQueueWaitMs = 60 * 1000;
 constexpr std::uint64_t MaxEntries = 4096;
 constexpr std::uint64_t DefaultRetryPercent = 10;
+constexpr std::uint64_t MaxTimeoutMs = 600 * 1000;
+constexpr std::uint64_t MaxPriority = 1000;
+constexpr std::uint64_t MaxTargetsOfRoute = 100;
+constexpr std::uint64_t MaxWeight = 1000000;
+constexpr std::uint64_t MaxHeadBytes = 64 * 1024;
+constexpr std::uint64_t MaxBodyBytes = 1024 * 1024 * 1024;
 
 TargetBounds readBounds(ObjectReader &reader)
 {
@@ -90,11 +97,74 @@
     }
 }
 
+RouteKind readRouteKind(ObjectReader &reader)
+{
+    const std::string text = reader.text("kind");
+    if (text == "idempotent") {
+        return RouteKind::Idempotent;
+    }
+    if (text == "download") {
+        return RouteKind::Download;
+    }
+    if (text != "non-idempotent") {
+        reader.fail("kind", "must be idempotent, non-idempotent or download");
+    }
+    return RouteKind::NonIdempotent;
+}
+
+Route readRoute(const Json &object, const std::string &path, absl::Status *status)
+{
+    Route route;
+    ObjectReader reader(object, path, status);
+    route.name = reader.name("name");
+    route.host = absl::AsciiStrToLower(reader.text("host"));
+    route.pathPrefix = reader.text("path");
+    route.kind = readRouteKind(reader);
+    route.timeout = std::chrono::milliseconds(reader.number("timeout_ms", 1, MaxTimeoutMs));
+    route.objective = std::chrono::milliseconds(reader.numberOr("objective_ms", 0, 0, MaxTimeoutMs));
+    route.priority = static_cast<std::uint32_t>(reader.numberOr("priority", 0, 0, MaxPriority));
+    route.maxTargets = static_cast<std::uint32_t>(reader.numberOr("max_tries", 1, 1, MaxTargetsOfRoute));
+    std::size_t n = 0;
+    for (const Json &it : reader.array("to")) {
+        ObjectReader part(it, fmt::format("{}[{}]", reader.pathOf("to"), n++), status);
+        const auto weight = static_cast<std::uint32_t>(part.numberOr("weight", 1, 0, MaxWeight));
+        route.services.push_back({part.name("service"), weight});
+        part.refuseOthers();
+    }
+    reader.refuseOthers();
+    return route;
+}
+
+void readRoutes(const Json &array, Bundle *bundle, absl::Status *status)
+{
+    std::size_t n = 0;
+    for (const Json &it : array) {
+        bundle->routes.push_back(readRoute(it, fmt::format("$.routes[{}]", n++), status));
+    }
+    if (const absl::Status checked = checkRoutes(*bundle); status->ok() && !checked.ok()) {
+        *status = absl::InvalidArgumentError(fmt::format("$.routes: {}", std::string(checked.message())));
+    }
+}
+
+CallerLimits readCallers(const Json &object, absl::Status *status)
+{
+    CallerLimits limits;
+    ObjectReader reader(object, "$.callers", status);
+    limits.maxHeadBytes = reader.number("max_head_bytes", 1024, MaxHeadBytes);
+    limits.maxBodyBytes = reader.number("max_body_bytes", 0, MaxBodyBytes);
+    limits.headTimeout = std::chrono::milliseconds(reader.number("head_timeout_ms", 1, MaxTimeoutMs));
+    limits.idleTimeout = std::chrono::milliseconds(reader.number("idle_timeout_ms", 1, MaxTimeoutMs));
+    reader.refuseOthers();
+    return limits;
+}
+
 void readColdStart(const Json &object, const std::string &path, ServicePolicy *policy, absl::Status *status)
 {
     ObjectReader reader(object, path, status);
     policy->coldSlots = static_cast<std::uint32_t>(reader.number("slots", 1, policy->bounds.slots));
     policy->coldRamp = std::chrono::milliseconds(reader.number("ramp_ms", 0, MaxRampMs));
+    policy->coldPerSecond = static_cast<double>(reader.numberOr("per_second", 0, 0, MaxSlots));
+    policy->coldTime = std::chrono::milliseconds(reader.numberOr("time_ms", 0, 0, MaxRampMs));
     reader.refuseOthers();
 }
 
@@ -115,6 +185,7 @@
     readColdStart(reader.object("cold"), reader.pathOf("cold"), &policy, status);
     readQueue(reader.objectOr("queue"), reader.pathOf("queue"), &policy, status);
     readTargetBounds(reader.objectOr("targets"), reader.pathOf("targets"), &policy, status);
+    policy.healthPath = reader.textOr("health_path", "");
     policy.retryPercent = static_cast<std::uint32_t>(reader.numberOr("retry_percent", DefaultRetryPercent, 0, 100));
     reader.refuseOthers();
     return policy;
@@ -136,6 +207,11 @@
 
 }
 
+bool ServicePolicy::servedIn(const std::string &dataCentre) const
+{
+    return dataCentres.empty() || dataCentres.contains(dataCentre);
+}
+
 const TargetBounds &ServicePolicy::boundsOf(const std::string &target) const
 {
     const auto it = targetBounds.find(target);
@@ -145,7 +221,7 @@
 bool Bundle::inService(const std::string &dataCentre) const
 {
     const auto it = dataCentres.find(dataCentre);
-    return it != dataCentres.end() && it->second;
+    return it == dataCentres.end() ? openDataCentres : it->second;
 }
 
 const ServicePolicy *Bundle::findService(const std::string &service) const
@@ -154,6 +230,32 @@
     return it == services.end() ? nullptr : &it->second;
 }
 
+absl::Status checkRoutes(const Bundle &bundle)
+{
+    std::set<std::string> names;
+    std::set<std::pair<std::string, std::string>> places;
+    for (const Route &route : bundle.routes) {
+        const auto fault = [&](std::string_view what) {
+            return absl::InvalidArgumentError(fmt::format("{}: {}", route.name, what));
+        };
+        if (const absl::Status status = checkRoute(route); !status.ok()) {
+            return fault(toStd(status.message()));
+        }
+        for (const WeightedService &it : route.services) {
+            if (bundle.findService(it.service) == nullptr) {
+                return fault("to: names a service that is not listed");
+            }
+        }
+        if (!names.insert(route.name).second) {
+            return fault("another route has the same name");
+        }
+        if (!places.emplace(route.host, route.pathPrefix).second) {
+            return fault("another route has the same host and path");
+        }
+    }
+    return absl::OkStatus();
+}
+
 absl::StatusOr<Bundle> parseBundle(std::string_view text)
 {
     if (text.size() > MaxBundleBytes) {
@@ -171,6 +273,10 @@
     bundle.version = reader.number("version", 1, MaxVersion);
     bundle.dataCentres = readDataCentres(reader.object("data_centres"), reader, &status);
     readServices(reader.object("services"), reader, &bundle, &status);
+    readRoutes(reader.arrayOr("routes"), &bundle, &status);
+    if (const Json &callers = reader.objectOr("callers"); !callers.empty()) {
+        bundle.callers = readCallers(callers, &status);
+    }
     reader.refuseOthers();
     if (!status.ok()) {
         return status;
--- a/src/bundle/jsonreader.cpp
+++ b/src/bundle/jsonreader.cpp
@@ -143,6 +143,11 @@
     return value->get<std::string>();
 }
 
+std::string ObjectReader::textOr(const std::string &key, std::string_view fallback)
+{
+    return find(key, false) == nullptr ? std::string(fallback) : text(key);
+}
+
 std::string ObjectReader::name(const std::string &key)
 {
     std::string name = text(key);
@@ -178,6 +183,11 @@
     return emptyArray();
 }
 
+const Json &ObjectReader::arrayOr(const std::string &key)
+{
+    return find(key, false) == nullptr ? emptyArray() : array(key);
+}
+
 void ObjectReader::refuseOthers()
 {
     for (const auto &it : m_object.items()) {
--- a/src/bundle/jsonreader.h
+++ b/src/bundle/jsonreader.h
@@ -37,6 +37,9 @@
     /// Returns a text.
     std::string text(const std::string &key);
 
+    /// Returns a text, or the fallback if the key is absent.
+    std::string textOr(const std::string &key, std::string_view fallback);
+
     /// Returns a name that checkName() takes.
     std::string name(const std::string &key);
 
@@ -49,6 +52,9 @@
     /// Returns the member, which must be an array, or an empty array after a fault.
     const Json &array(const std::string &key);
 
+    /// Returns the member, which must be an array, or an empty array if the key is absent.
+    const Json &arrayOr(const std::string &key);
+
     /// Reports each key that was not read.
     void refuseOthers();
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.h"
 #include "cli/version.h"
+#include "platform/commands.h"
 
 #include <sodium.h>
 
@@ -17,6 +18,8 @@
                               "  demo      run both deployments on loopback in one process\n"
                               "  target    run a stand-in target\n"
                               "  load      send an open-loop load\n"
+                              "  platform-node, platform-control\n"
+                              "            run on the users' platform, see docs/PLATFORM.md\n"
                               "\n"
                               "shallotrelay COMMAND --help lists the flags of a command.\n";
 
@@ -28,7 +31,9 @@
     using Command = int (*)(const Arguments &);
     const std::map<std::string, Command> commands
         = {{"node", runNodeCommand},     {"control", runControlCommand}, {"bundle", runBundleCommand},
-           {"target", runTargetCommand}, {"load", runLoadCommand},       {"demo", runDemoCommand}};
+           {"target", runTargetCommand}, {"load", runLoadCommand},       {"demo", runDemoCommand},
+           {"platform-node", platform::runNodeCommand},
+           {"platform-control", platform::runControlCommand}};
     Arguments args(argv + 1, argv + argc);
     const std::string first = args.empty() ? "" : args.front();
     if (first == "--version") {
--- a/src/cli/settingvalue.cpp
+++ b/src/cli/settingvalue.cpp
@@ -174,6 +174,14 @@
     *out = *span;
 }
 
+void SettingConverter::read(const std::string &name, double *out)
+{
+    constexpr double Most = 1e9;
+    if (!absl::SimpleAtod(text(name), out) || !(*out >= 0 && *out <= Most)) {
+        fail(name, "must be a number from 0");
+    }
+}
+
 const absl::Status &SettingConverter::status() const
 {
     return m_status;
--- a/src/cli/settingvalue.h
+++ b/src/cli/settingvalue.h
@@ -41,6 +41,7 @@
     Path, ///< A path of the file system.
     Count, ///< A whole number within bounds.
     Duration, ///< A span of time with its unit.
+    Fraction, ///< A number from 0 with a fraction.
     LogLevel, ///< trace, debug, info, warn, error or off.
 };
 
@@ -69,6 +70,7 @@
     void read(const std::string &name, std::vector<Address> *out);
     void read(const std::string &name, std::uint32_t *out);
     void read(const std::string &name, Duration *out);
+    void read(const std::string &name, double *out);
 
     /// Returns the first error, or OK.
     const absl::Status &status() const;
--- /dev/null
+++ b/src/daemon/clusternode.cpp
@@ -0,0 +1,657 @@
+#include "daemon/clusternode.h"
+
+#include "daemon/controllink.h"
+#include "daemon/dispatcher.h"
+#include "net/beaconsocket.h"
+#include "shallotrelay/membership/controlchoice.h"
+#include "wire/frame.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+
+namespace shallotrelay
+{
+namespace
+{
+
+/// The one owner of all services, since the operators of a cluster share one state.
+const std::string ClusterFirm = "cluster";
+
+constexpr std::size_t MaxMetricsBytes = 4 * 1024;
+/// Time between looks at the guard: waiting requests are dropped or started, and load is compared with the last beacon.
+constexpr Duration GuardTick = std::chrono::milliseconds(20);
+/// Longest time between two beacons; a silence of a few of them shows that a node is gone.
+constexpr Duration BeaconHeartbeat = std::chrono::milliseconds(250);
+/// Shortest time between two beacons, for each node that gets them; bounds what beacons cost in a large cluster.
+constexpr Duration BeaconGapPerPeer = std::chrono::milliseconds(4);
+constexpr Duration LinkCheckInterval = std::chrono::milliseconds(200);
+/// Time between reports to a control VM.
+constexpr Duration ReportInterval = std::chrono::milliseconds(1000);
+/// What a control VM told is forgotten this long after its link was lost, if others tell as much.
+constexpr Duration DirectoryMemory = std::chrono::seconds(3);
+/// Time between probes of a target that gives no reason for doubt.
+constexpr Duration ProbeInterval = std::chrono::milliseconds(1000);
+/// Time between probes while the target cannot be reached or may have been replaced.
+constexpr Duration DoubtProbeInterval = std::chrono::milliseconds(100);
+/// Longest time for which a target that could not be reached gets no requests without a probe.
+constexpr Duration HoldBound = std::chrono::milliseconds(1000);
+/// Time for a connection to the target, which is on the same VM.
+constexpr Duration TargetConnectTimeout = std::chrono::milliseconds(150);
+/// Time for a connection to another node; two round trips between data centres with a lost packet.
+constexpr Duration PeerConnectTimeout = std::chrono::milliseconds(300);
+/// Time in which a target notices that a connection was closed and ends its work.
+constexpr Duration AbandonedLinger = std::chrono::milliseconds(20);
+/// Time for which a target that was not heard of keeps a starting node from being ready.
+constexpr Duration StartPatience = std::chrono::milliseconds(2500);
+/// Time for which a stopping node still takes callers: two missed checks of its readiness, a second apart, and a margin.
+constexpr Duration CallerGrace = std::chrono::milliseconds(3200);
+/// Time after which a stopping node refuses work for its target.
+constexpr Duration GuardGrace = std::chrono::milliseconds(2200);
+/// Time before the kill at which a stopping node ends whatever is in progress.
+constexpr Duration StopMargin = std::chrono::milliseconds(400);
+/// Answers up to this size are held until they are whole.
+constexpr std::size_t HoldAnswerBytes = 128 * 1024;
+/// Request bodies up to this size are held, so that they can be sent to another target.
+constexpr std::size_t HoldBodyBytes = 64 * 1024;
+/// Part of the shared retries that nodes take; the rest covers repeats that calls of repeated requests make.
+constexpr double RetryShare = 0.6;
+/// Nodes that are assumed to share the retries as long as fewer are known.
+constexpr std::size_t LeastNodes = 4;
+constexpr double PercentScale = 100;
+
+std::uint64_t newIncarnation()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+RouterOptions routerOptions(const ClusterNode::Options &options)
+{
+    RouterOptions out;
+    out.dataCentre = options.dataCentre;
+    out.strategy = RoutingStrategy::EarliestFinish;
+    return out;
+}
+
+PeerOptions peerOptions()
+{
+    PeerOptions out;
+    out.lifeSignInterval = Duration::zero();
+    out.silenceBound = out.stallTimeout;
+    out.connectTimeout = PeerConnectTimeout;
+    return out;
+}
+
+/// Returns whether a load differs enough from the one that was told last to tell it at once.
+bool differs(const LoadReport &a, const LoadReport &b)
+{
+    constexpr std::uint32_t PaceStep = 40;
+    constexpr std::uint32_t LoadStep = 3;
+    const auto apart = [](std::uint32_t x, std::uint32_t y) { return x > y ? x - y : y - x; };
+    return a.state != b.state || a.limit != b.limit || apart(a.pacePercent, b.pacePercent) > PaceStep
+           || apart(a.inFlight + a.queued, b.inFlight + b.queued) >= LoadStep;
+}
+
+}
+
+struct ClusterNode::Impl : std::enable_shared_from_this<ClusterNode::Impl> {
+    Impl(Runtime &r, const Clock &c, Options o, ClusterHooks h, EventLog &l)
+        : runtime(r)
+        , clock(c)
+        , options(std::move(o))
+        , hooks(std::move(h))
+        , log(l)
+        , incarnation(newIncarnation())
+        , random(options.seed)
+        , services(clock, routerOptions(options), options.seed)
+        , local({&clock, std::chrono::hours(1), peerOptions().stallTimeout, options.dataCentre,
+                 options.peerListen.text(), incarnation, targetOptions()},
+                services, log, metrics, noKeys())
+        , dispatcher({&clock, peerOptions(), options.name, HoldBodyBytes, true}, services, local, log, metrics)
+        , door(runtime, clock, doorOptions(),
+               [this](CallerRequest &request, BodySource &source, CallerSink &sink, ExchangeProgress &progress) {
+                   return dispatcher.dispatch(request, source, sink, progress);
+               })
+        , peers(runtime, clock, peerOptions(),
+                [this](const RequestHead &head) {
+                    return local.findBackend({head.firm, head.service}, head.target);
+                })
+        , beacons(runtime.shard(0), [this](const LoadBeacon &beacon) { takeBeacon(beacon); })
+        , metricsServer(runtime, MaxMetricsBytes, [this](HttpRequest request) { return serve(std::move(request)); })
+        , choice(seedAddresses())
+        , probeTimer(runtime.shard(0))
+        , started(clock.now())
+    {
+    }
+
+    Runtime &runtime;
+    const Clock &clock;
+    Options options;
+    ClusterHooks hooks;
+    EventLog &log;
+    std::uint64_t incarnation;
+    Random random;
+    Metrics metrics;
+    ServiceTable services;
+    LocalTargets local;
+    Dispatcher dispatcher;
+    Door door;
+    PeerServer peers;
+    BeaconSocket beacons;
+    HttpServer metricsServer;
+    ControlChoice choice;
+    std::map<std::string, std::unique_ptr<ControlLink>> links;
+    std::map<std::string, bool> current; // whether a control VM is in touch with the others, by address
+    std::map<std::string, TimePoint> lostSince;
+    std::string firstControl;
+    TargetPresence presence;
+    asio::steady_timer probeTimer;
+    TimePoint nextProbe;
+    TimePoint lastProbe;
+    bool unreachable = false;
+    std::map<std::string, std::uint64_t> beaconSeen; // sequence of the last beacon, by target
+    std::map<std::string, std::uint64_t> beaconStart; // incarnation of its node
+    std::uint64_t beaconSequence = 0;
+    LoadReport told;
+    TimePoint toldAt;
+    std::map<std::string, Address> peerAddresses;
+    TimePoint started;
+    TimePoint stopBegun;
+    bool guardLeft = false;
+    std::atomic<bool> stopping = false;
+
+    std::shared_ptr<NodeKeys> noKeys()
+    {
+        constexpr std::size_t NoAnswers = 0;
+        const auto refuse = [](ClaimRequest) -> asio::awaitable<std::optional<ClaimAnswer>> { co_return std::nullopt; };
+        return std::make_shared<NodeKeys>(Duration::zero(), NoAnswers, refuse);
+    }
+
+    GuardedTargetOptions targetOptions()
+    {
+        GuardedTargetOptions out;
+        out.checkAnswer = hooks.checkAnswer;
+        out.targetFields = hooks.targetFields;
+        out.onDoubt = [this](TargetDoubt doubt) { takeDoubt(doubt); };
+        out.connectTimeout = TargetConnectTimeout;
+        out.closesAbandoned = true;
+        out.abandonedLinger = AbandonedLinger;
+        return out;
+    }
+
+    DoorOptions doorOptions()
+    {
+        DoorOptions out;
+        out.resolve = [this](const CallerHead &caller, CallerRequest *request) { return resolve(caller, request); };
+        out.keepsRequestIds = true;
+        out.fractionalRetryAfter = true;
+        out.holdBytes = HoldAnswerBytes;
+        out.maxHeadBytes = 64 * 1024;
+        return out;
+    }
+
+    /// Nodes connect to the ports that control VMs open for processes of the system; ports are the same on all VMs.
+    std::vector<std::string> seedAddresses() const
+    {
+        std::vector<std::string> out;
+        for (const Address &it : options.seeds) {
+            out.push_back(Address{it.host, options.peerListen.port}.text());
+        }
+        return out;
+    }
+
+    absl::Status resolve(const CallerHead &caller, CallerRequest *request)
+    {
+        const auto bundle = services.bundleOf(ClusterFirm);
+        if (!bundle) {
+            return absl::UnavailableError("the operators' state is not known yet");
+        }
+        const Route *route = bundle->routes.find(caller.host, caller.target);
+        if (route == nullptr) {
+            return absl::NotFoundError("no route matches");
+        }
+        const TimePoint now = clock.now();
+        RequestHead &head = request->head;
+        head.firm = ClusterFirm;
+        head.service = drawService(*route, random);
+        head.path = caller.target;
+        head.route = route->name;
+        head.priority = route->priority;
+        head.repeatable = route->repeatable();
+        head.callerService = presence.current() ? presence.current()->said.service : options.service;
+        head.idempotencyKey.clear();
+        hooks.cleanFields(&head.headers);
+        request->deadline = std::min(request->deadline, now + route->timeout);
+        if (route->objective > Duration::zero()) {
+            request->objective = now + route->objective;
+        }
+        request->maxTargets = route->maxTargets;
+        return absl::OkStatus();
+    }
+
+    std::uint64_t appliedRevision() const
+    {
+        const auto bundle = services.bundleOf(ClusterFirm);
+        return bundle ? bundle->revision : 0;
+    }
+
+    void takeIntent(const std::string &control, const IntentUpdate &update)
+    {
+        if (update.revision <= appliedRevision()) {
+            return;
+        }
+        auto bundle = hooks.parseIntent(update);
+        if (!bundle.ok()) {
+            log.write(LogLevel::Error, "intent",
+                      LogFields().add("revision", update.revision).add("error", std::string(bundle.status().message())));
+            return;
+        }
+        bundle->firm = ClusterFirm;
+        for (auto &it : bundle->services) {
+            it.second.retryPercent = static_cast<std::uint32_t>(options.retryRatio * RetryShare * PercentScale);
+        }
+        if (!services.applyChecked(update.revision, *std::move(bundle))) {
+            return;
+        }
+        local.applyPolicies();
+        LogFields line;
+        line.add("control", control).add("revision", update.revision).add("version", update.version);
+        for (const std::string &it : update.outOfService) {
+            line.add("out_of_service", it);
+        }
+        log.write(LogLevel::Info, "intent-applied", line);
+        reportSoon();
+    }
+
+    void reportSoon()
+    {
+        for (const auto &it : links) {
+            it.second->reportSoon();
+        }
+    }
+
+    ControlLink::Options linkOptions(const std::string &address)
+    {
+        ControlLink::Options out;
+        out.address = parseAddress(address).value_or(Address{});
+        out.heartbeat = ReportInterval;
+        out.node = options.name;
+        out.dataCentre = options.dataCentre;
+        out.incarnation = incarnation;
+        out.onBundle = [] {};
+        out.onIntent = [this, address](const IntentUpdate &update) { takeIntent(address, update); };
+        out.onView = [this, address](const ControlView &view) {
+            current[address] = view.current;
+            if (view.current && !view.addresses.empty()) {
+                choice.setKnown(view.addresses);
+            }
+        };
+        out.watch = [this, address] { return NodeWatch{appliedRevision(), address == firstControl}; };
+        return out;
+    }
+
+    asio::awaitable<void> keepLinks()
+    {
+        for (;;) {
+            updateLinks();
+            co_await sleepFor(LinkCheckInterval);
+        }
+    }
+
+    void updateLinks()
+    {
+        const TimePoint now = clock.now();
+        for (const auto &it : links) {
+            const bool good = it.second->connected() && current[it.first];
+            choice.noteLink(it.first, good, now);
+            if (it.second->connected()) {
+                lostSince.erase(it.first);
+            } else {
+                lostSince.emplace(it.first, now);
+            }
+        }
+        const std::vector<std::string> wanted = choice.wanted(now);
+        std::erase_if(links, [&](const auto &it) {
+            const bool gone = std::find(wanted.begin(), wanted.end(), it.first) == wanted.end();
+            if (gone) {
+                lostSince.emplace(it.first, now);
+                current.erase(it.first);
+            }
+            return gone;
+        });
+        for (const std::string &it : wanted) {
+            if (!links.contains(it)) {
+                links[it] = std::make_unique<ControlLink>(runtime, linkOptions(it), services, local, log);
+                links[it]->start();
+            }
+        }
+        chooseFirst(wanted);
+        forgetLost(now);
+        const std::size_t nodes = std::max(LeastNodes, services.peers().size());
+        const double burst = options.retrySlack * RetryShare / static_cast<double>(nodes);
+        if (burst != retryBurst) {
+            retryBurst = burst;
+            services.setRetryBurst(burst);
+        }
+    }
+
+    double retryBurst = 0;
+
+    /// Nodes differ in which control VM tells them of changes first, so that the work is spread.
+    void chooseFirst(const std::vector<std::string> &wanted)
+    {
+        std::vector<std::string> good;
+        for (const std::string &it : wanted) {
+            if (links.at(it)->connected() && current[it]) {
+                good.push_back(it);
+            }
+        }
+        if (!good.empty() && std::find(good.begin(), good.end(), firstControl) == good.end()) {
+            firstControl = good[std::hash<std::string>{}(options.name) % good.size()];
+        }
+    }
+
+    void forgetLost(TimePoint now)
+    {
+        const auto isConnected = [](const auto &it) { return it.second->connected(); };
+        if (std::none_of(links.begin(), links.end(), isConnected)) {
+            return;
+        }
+        std::erase_if(lostSince, [&](const auto &it) {
+            const bool old = now - it.second > DirectoryMemory;
+            if (old) {
+                services.dropDirectory(it.first);
+            }
+            return old;
+        });
+    }
+
+    AnnouncementResult announce(const TargetHeartbeat &heartbeat)
+    {
+        const auto before = presence.current();
+        if (!presence.heartbeat(heartbeat)) {
+            log.write(LogLevel::Info, "heartbeat-stale",
+                      LogFields().add("target", heartbeat.id).add("sequence", heartbeat.sequence));
+            return AnnouncementResult::Stale;
+        }
+        applyPresence(before, heartbeat.coldLeft);
+        return AnnouncementResult::Taken;
+    }
+
+    /// Makes the guard follow what is known of the target.
+    void applyPresence(const std::optional<PresentTarget> &before, std::optional<Duration> coldLeft)
+    {
+        const PresentTarget &now = *presence.current();
+        const ServiceId service{ClusterFirm, now.said.service};
+        const bool replaced = before && (before->said.id != now.said.id || before->said.service != now.said.service);
+        if (replaced) {
+            local.remove({ClusterFirm, before->said.service}, before->said.id);
+        }
+        Announcement out;
+        out.service = service;
+        out.name = now.said.id;
+        out.address = parseAddress(now.said.address).value_or(options.target);
+        out.target.bootId = std::to_string(now.start);
+        out.target.state = now.said.leaving || guardLeft ? TargetState::Leaving : TargetState::Ready;
+        out.target.slots = now.said.slots;
+        // While the target cannot be reached, only a probe tells that it is warm.
+        out.target.coldLeft = unreachable ? std::nullopt : coldLeft;
+        if (local.announce(out)) {
+            reportSoon();
+            tellLoad(true);
+        }
+    }
+
+    void takeDoubt(TargetDoubt doubt)
+    {
+        if (doubt == TargetDoubt::Unreachable) {
+            unreachable = true;
+            if (const auto guarded = guardedTarget()) {
+                guarded->hold(HoldBound);
+            }
+        }
+        nextProbe = std::min(nextProbe, std::max(clock.now(), lastProbe + DoubtProbeInterval));
+        probeTimer.cancel();
+    }
+
+    std::shared_ptr<GuardedTarget> guardedTarget() const
+    {
+        const auto &target = presence.current();
+        return target ? local.find({ClusterFirm, target->said.service}, target->said.id) : nullptr;
+    }
+
+    std::string healthPath() const
+    {
+        const auto bundle = services.bundleOf(ClusterFirm);
+        const auto &target = presence.current();
+        const std::string service = target ? target->said.service : options.service;
+        const ServicePolicy *policy = bundle ? bundle->bundle.findService(service) : nullptr;
+        return policy == nullptr ? "" : policy->healthPath;
+    }
+
+    asio::awaitable<void> watchTarget()
+    {
+        for (;;) {
+            while (clock.now() < nextProbe) {
+                probeTimer.expires_at(nextProbe);
+                co_await probeTimer.async_wait(AsTuple);
+            }
+            const std::string path = healthPath();
+            lastProbe = clock.now();
+            if (path.empty()) {
+                nextProbe = lastProbe + DoubtProbeInterval;
+                continue;
+            }
+            const auto probe = co_await hooks.probe(options.target, path);
+            takeProbe(probe);
+            nextProbe = clock.now() + (unreachable ? DoubtProbeInterval : ProbeInterval);
+        }
+    }
+
+    void takeProbe(const absl::StatusOr<TargetProbe> &probe)
+    {
+        if (!probe.ok()) {
+            if (!unreachable) {
+                log.write(LogLevel::Warn, "probe",
+                          LogFields().add("error", std::string(probe.status().message())));
+            }
+            return;
+        }
+        if (unreachable) {
+            unreachable = false;
+            log.write(LogLevel::Info, "target-regained", LogFields().add("target", probe->id));
+            if (const auto guarded = guardedTarget()) {
+                guarded->hold(Duration::zero());
+            }
+        }
+        const auto before = presence.current();
+        if (presence.probed(*probe, options.service, options.target.text())) {
+            log.write(LogLevel::Info, "target-found", LogFields().add("target", probe->id));
+        }
+        applyPresence(before, probe->coldLeft);
+        if (const auto guarded = guardedTarget(); guarded && probe->pacePercent > 0) {
+            guarded->setPace(probe->pacePercent);
+        }
+    }
+
+    void takeBeacon(const LoadBeacon &beacon)
+    {
+        std::uint64_t &start = beaconStart[beacon.target];
+        std::uint64_t &sequence = beaconSeen[beacon.target];
+        const bool late = beacon.incarnation < start || (beacon.incarnation == start && beacon.sequence <= sequence);
+        if (late) {
+            return;
+        }
+        start = beacon.incarnation;
+        sequence = beacon.sequence;
+        services.noteLoad({ClusterFirm, beacon.service}, beacon.target, beacon.load);
+    }
+
+    asio::awaitable<void> tickGuard()
+    {
+        for (;;) {
+            co_await sleepFor(GuardTick);
+            local.tick();
+            tellLoad(false);
+            if (stopping && !guardLeft && clock.now() - stopBegun > GuardGrace) {
+                guardLeft = true;
+                local.leaveAll();
+                reportSoon();
+                tellLoad(true);
+            }
+        }
+    }
+
+    /// Tells the other nodes the load of the target when it changed, and now and then when it did not.
+    void tellLoad(bool atOnce)
+    {
+        const auto guarded = guardedTarget();
+        if (!guarded) {
+            return;
+        }
+        const TimePoint now = clock.now();
+        const LoadReport load = guarded->load();
+        const std::vector<std::string> addresses = services.peers();
+        const Duration gap = BeaconGapPerPeer * static_cast<int>(addresses.size());
+        const bool changed = differs(load, told) && now - toldAt >= gap;
+        if (!atOnce && !changed && now - toldAt < std::max(gap, BeaconHeartbeat)) {
+            return;
+        }
+        told = load;
+        toldAt = now;
+        const auto &target = presence.current();
+        services.noteLoad({ClusterFirm, target->said.service}, target->said.id, load);
+        const LoadBeacon beacon{target->said.service, target->said.id, ++beaconSequence, incarnation, load};
+        const std::string encoded = encodeFrame(beacon);
+        const std::string self = options.peerListen.text();
+        for (const std::string &it : addresses) {
+            if (it != self) {
+                beacons.send(encoded, addressOf(it));
+            }
+        }
+    }
+
+    const Address &addressOf(const std::string &text)
+    {
+        const auto known = peerAddresses.find(text);
+        if (known != peerAddresses.end()) {
+            return known->second;
+        }
+        return peerAddresses[text] = parseAddress(text).value_or(Address{"127.0.0.1", 0});
+    }
+
+    asio::awaitable<HttpReply> serve(HttpRequest request)
+    {
+        if (request.path == "/metrics") {
+            metrics.gauge("shallotrelay_requests_in_progress", "Requests of callers in progress")
+                .Set(static_cast<double>(door.inProgress()));
+            metrics.gauge("shallotrelay_revision", "Revision of the operators' state that is applied")
+                .Set(static_cast<double>(appliedRevision()));
+            metrics.gauge("shallotrelay_log_lines_dropped", "Log lines that could not be written in time")
+                .Set(static_cast<double>(log.dropped()));
+            co_return HttpReply{200, "text/plain; version=0.0.4", metrics.text()};
+        }
+        if (request.path == "/healthz") {
+            co_return HttpReply{200, "text/plain", "ok\n"};
+        }
+        co_return HttpReply{404, "text/plain", "not found\n"};
+    }
+
+    bool ready() const
+    {
+        if (stopping || appliedRevision() == 0) {
+            return false;
+        }
+        return presence.current() || clock.now() - started > StartPatience;
+    }
+
+    absl::Status start()
+    {
+        log.write(LogLevel::Info, "node-start",
+                  LogFields()
+                      .add("node", options.name)
+                      .add("data_centre", options.dataCentre)
+                      .add("service", options.service)
+                      .add("incarnation", incarnation)
+                      .add("links", "unauthenticated"));
+        for (const absl::Status &status :
+             {peers.start(options.peerListen), beacons.start(options.peerListen), door.start(options.listen),
+              metricsServer.start(options.metricsListen)}) {
+            if (!status.ok()) {
+                return status;
+            }
+        }
+        asio::io_context &loop = runtime.shard(0);
+        asio::co_spawn(loop, keepLinks(), asio::detached);
+        asio::co_spawn(loop, tickGuard(), asio::detached);
+        asio::co_spawn(loop, watchTarget(), asio::detached);
+        return absl::OkStatus();
+    }
+
+    void beginStop()
+    {
+        stopping = true;
+        stopBegun = clock.now();
+        door.wind();
+        log.write(LogLevel::Info, "node-stop",
+                  LogFields()
+                      .add("callers", std::uint64_t(door.inProgress()))
+                      .add("peers", std::uint64_t(peers.inProgress())));
+    }
+
+    bool stopped() const
+    {
+        const Duration since = clock.now() - stopBegun;
+        if (since < CallerGrace) {
+            return false;
+        }
+        const bool idle = door.inProgress() == 0 && peers.inProgress() == 0;
+        return idle || since > options.grace - StopMargin;
+    }
+};
+
+ClusterNode::ClusterNode(Runtime &runtime, const Clock &clock, Options options, ClusterHooks hooks, EventLog &log)
+    : m_impl(std::make_shared<Impl>(runtime, clock, std::move(options), std::move(hooks), log))
+{
+}
+
+ClusterNode::~ClusterNode() = default;
+
+absl::Status ClusterNode::start()
+{
+    return m_impl->start();
+}
+
+AnnouncementResult ClusterNode::announce(const TargetHeartbeat &heartbeat)
+{
+    return m_impl->announce(heartbeat);
+}
+
+void ClusterNode::targetLeaves(const std::string &id)
+{
+    const auto before = m_impl->presence.current();
+    if (m_impl->presence.left(id)) {
+        m_impl->applyPresence(before, std::nullopt);
+    }
+}
+
+bool ClusterNode::ready() const
+{
+    return m_impl->ready();
+}
+
+void ClusterNode::beginStop()
+{
+    m_impl->beginStop();
+}
+
+bool ClusterNode::stopped() const
+{
+    return m_impl->stopped();
+}
+
+}
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -1,21 +1,14 @@
 #include "daemon/control.h"
 
 #include "daemon/claimstore.h"
-
-#include "net/framestream.h"
-#include "net/listener.h"
+#include "daemon/nodesessions.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <nlohmann/json.hpp>
 
 #include <mutex>
 #include <optional>
-#include <set>
 
 namespace shallotrelay
 {
@@ -25,7 +18,6 @@
 using Json = nlohmann::ordered_json;
 
 constexpr std::size_t MaxSubmitBytes = 4 * 1024 * 1024;
-constexpr Duration ExpiryInterval = std::chrono::milliseconds(100);
 
 HttpReply jsonReply(std::uint16_t status, const Json &json)
 {
@@ -64,33 +56,23 @@
         , clock(c)
         , settings(std::move(s))
         , log(l)
-        , directory(settings.lease)
         , storeThread(1)
-        , listener(r, [this](asio::io_context &loop, tcp::socket socket) { take(loop, std::move(socket)); })
+        , nodes(r, c, {settings.lease, settings.heartbeat, settings.maxNodes}, nodeHooks())
     {
     }
 
-    /// A node that is connected, and how to wake its session.
-    struct Session {
-        explicit Session(const asio::any_io_executor &executor)
-            : wake(executor)
-        {
-        }
-
-        /// Makes the session look for news; called on the session's own event loop.
-        void rouse()
-        {
-            roused = true;
-            wake.cancel();
-        }
-
-        asio::steady_timer wake;
-        bool roused = false;
-        NodeReport report;
-        bool reported = false;
-        std::uint64_t sentSequence = 0;
-        std::map<std::string, std::uint64_t> sentRevisions;
-    };
+    NodeSessions::Hooks nodeHooks()
+    {
+        NodeSessions::Hooks hooks;
+        hooks.takeFrame = [this](FrameStream &stream, NodeSession &, const Frame &frame) {
+            return takeFrame(stream, frame);
+        };
+        hooks.queueNews = [this](FrameStream &stream, NodeSession &session) {
+            queueBundles(stream, session);
+            return Duration::zero();
+        };
+        return hooks;
+    }
 
     struct WaitingClaim;
 
@@ -103,78 +85,31 @@
     std::unique_ptr<ClaimStore> claims;
     std::mutex claimsMutex;
     std::vector<std::shared_ptr<WaitingClaim>> waitingClaims;
-    std::mutex directoryMutex;
-    Directory directory;
-    std::mutex sessionsMutex;
-    std::set<std::shared_ptr<Session>> sessions;
     asio::thread_pool storeThread;
     std::unique_ptr<HttpServer> operators;
-    Listener listener;
-
-    void wakeAll()
-    {
-        const std::lock_guard lock(sessionsMutex);
-        for (const auto &it : sessions) {
-            asio::post(it->wake.get_executor(), [it] { it->rouse(); });
-        }
-    }
+    NodeSessions nodes;
 
-    void take(asio::io_context &loop, tcp::socket socket)
+    /// Takes the claims of a node.
+    asio::awaitable<bool> takeFrame(FrameStream &stream, const Frame &frame)
     {
-        if (sessionCount() < settings.maxNodes) {
-            asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
+        const auto request = decodeAs<ClaimRequest>(frame);
+        if (!request.ok()) {
+            co_return false;
         }
+        const ClaimAnswer answer = co_await claim(*request);
+        stream.queue(answer);
+        co_await stream.flush();
+        co_return true;
     }
 
-    std::size_t sessionCount()
+    void queueBundles(FrameStream &stream, NodeSession &session)
     {
-        const std::lock_guard lock(sessionsMutex);
-        return sessions.size();
-    }
-
-    static asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
-    {
-        using namespace asio::experimental::awaitable_operators;
-        FrameStream stream(std::move(socket), MaxFramePayloadBytes);
-        const auto session = std::make_shared<Session>(stream.executor());
-        {
-            const std::lock_guard lock(self->sessionsMutex);
-            self->sessions.insert(session);
-        }
-        co_await (self->receive(stream, *session) || self->push(stream, *session));
-        const std::lock_guard lock(self->sessionsMutex);
-        self->sessions.erase(session);
-    }
-
-    /// Takes the reports of a node until its connection is silent.
-    asio::awaitable<void> receive(FrameStream &stream, Session &session)
-    {
-        for (;;) {
-            const auto frame = co_await stream.read(settings.lease);
-            if (!frame.ok()) {
-                co_return;
-            }
-            if (frame->type == ClaimRequest::FrameType) {
-                const auto request = decodeAs<ClaimRequest>(*frame);
-                if (!request.ok()) {
-                    co_return;
-                }
-                const ClaimAnswer answer = co_await claim(*request);
-                stream.queue(answer);
-                co_await stream.flush();
-                continue;
-            }
-            auto report = decodeAs<NodeReport>(*frame);
-            if (!report.ok()) {
-                co_return;
-            }
-            if (takeReport(*report)) {
-                wakeAll();
+        for (const auto &it : store->latest()) {
+            std::uint64_t &sent = session.sentRevisions[it->entry.firm];
+            if (it->entry.revision > sent) {
+                sent = it->entry.revision;
+                stream.queue(it->message);
             }
-            const std::lock_guard lock(sessionsMutex);
-            session.report = *std::move(report);
-            session.reported = true;
-            session.rouse();
         }
     }
 
@@ -221,70 +156,6 @@
         }
     }
 
-    bool takeReport(const NodeReport &report)
-    {
-        const std::lock_guard lock(directoryMutex);
-        return directory.report(report, clock.now());
-    }
-
-    /// Sends what is new to a node, and a heartbeat when nothing is.
-    asio::awaitable<void> push(FrameStream &stream, Session &session)
-    {
-        for (;;) {
-            if (!session.roused) {
-                session.wake.expires_after(settings.heartbeat);
-                co_await session.wake.async_wait(AsTuple);
-            }
-            session.roused = false;
-            queueNews(stream, session);
-            const absl::Status status = co_await stream.flush();
-            if (!status.ok()) {
-                co_return;
-            }
-        }
-    }
-
-    void queueNews(FrameStream &stream, Session &session)
-    {
-        if (!session.reported) {
-            return;
-        }
-        for (const auto &it : store->latest()) {
-            std::uint64_t &sent = session.sentRevisions[it->entry.firm];
-            if (it->entry.revision > sent) {
-                sent = it->entry.revision;
-                stream.queue(it->message);
-            }
-        }
-        DirectoryUpdate update;
-        {
-            const std::lock_guard lock(directoryMutex);
-            update = directory.updateSince(session.sentSequence);
-        }
-        const bool changed = update.sequence != session.sentSequence;
-        session.sentSequence = update.sequence;
-        if (changed) {
-            stream.queue(update);
-        } else {
-            stream.queue(Heartbeat{update.sequence});
-        }
-    }
-
-    static asio::awaitable<void> expireAll(std::shared_ptr<Impl> self)
-    {
-        for (;;) {
-            co_await sleepFor(ExpiryInterval);
-            bool changed = false;
-            {
-                const std::lock_guard lock(self->directoryMutex);
-                changed = self->directory.expire(self->clock.now());
-            }
-            if (changed) {
-                self->wakeAll();
-            }
-        }
-    }
-
     asio::awaitable<HttpReply> handle(HttpRequest request)
     {
         if (request.path == "/v1/bundles" && request.method == "POST") {
@@ -321,7 +192,7 @@
         log.write(LogLevel::Info, "bundle",
                   LogFields().add("verdict", verdict).add("revision", answer.revision).add("reason", answer.reason));
         if (answer.verdict == SubmitVerdict::Accepted) {
-            wakeAll();
+            nodes.wakeAll();
         }
         co_return jsonReply(statusOf(answer.verdict), toJson(answer));
     }
@@ -340,24 +211,11 @@
     HttpReply status()
     {
         Json firms = Json::array();
-        std::vector<NodeReport> reports;
-        {
-            const std::lock_guard lock(sessionsMutex);
-            for (const auto &it : sessions) {
-                if (it->reported) {
-                    reports.push_back(it->report);
-                }
-            }
-        }
+        const std::vector<NodeReport> reports = nodes.reports();
         for (const auto &it : store->latest()) {
             firms.push_back(firmStatus(it->entry, reports));
         }
-        std::size_t targets = 0;
-        {
-            const std::lock_guard lock(directoryMutex);
-            targets = directory.size();
-        }
-        return jsonReply(200, {{"revision", store->revision()}, {"targets", targets}, {"firms", firms}});
+        return jsonReply(200, {{"revision", store->revision()}, {"targets", nodes.targets()}, {"firms", firms}});
     }
 
     static Json firmStatus(const LedgerEntry &entry, const std::vector<NodeReport> &reports)
@@ -403,7 +261,7 @@
         return claims.status();
     }
     impl.claims = *std::move(claims);
-    if (const absl::Status status = impl.listener.start(impl.settings.listen); !status.ok()) {
+    if (const absl::Status status = impl.nodes.start(impl.settings.listen); !status.ok()) {
         return status;
     }
     auto handler = [weak = std::weak_ptr(m_impl)](HttpRequest request) -> asio::awaitable<HttpReply> {
@@ -418,13 +276,12 @@
     if (const absl::Status status = impl.operators->start(impl.settings.operatorListen); !status.ok()) {
         return status;
     }
-    asio::co_spawn(impl.runtime.shard(0), Impl::expireAll(m_impl), asio::detached);
     return absl::OkStatus();
 }
 
 Address ControlDaemon::nodeAddress() const
 {
-    return m_impl->listener.address();
+    return m_impl->nodes.address();
 }
 
 Address ControlDaemon::operatorAddress() const
--- a/src/daemon/controllink.cpp
+++ b/src/daemon/controllink.cpp
@@ -101,6 +101,21 @@
             }
             return answer.status();
         }
+        if (frame.type == IntentUpdate::FrameType && options.onIntent) {
+            const auto update = decodeAs<IntentUpdate>(frame);
+            if (update.ok()) {
+                options.onIntent(*update);
+                rouse();
+            }
+            return update.status();
+        }
+        if (frame.type == ControlView::FrameType && options.onView) {
+            const auto view = decodeAs<ControlView>(frame);
+            if (view.ok()) {
+                options.onView(*view);
+            }
+            return view.status();
+        }
         if (frame.type == DirectoryUpdate::FrameType) {
             const auto update = decodeAs<DirectoryUpdate>(frame);
             if (update.ok()) {
@@ -171,9 +186,12 @@
     {
         outbox.clear();
         auto nextReport = std::chrono::steady_clock::now();
-        for (;;) {
+        while (!stopped) {
             if (roused || std::chrono::steady_clock::now() >= nextReport) {
                 roused = false;
+                if (options.watch) {
+                    stream.queue(options.watch());
+                }
                 stream.queue(report());
                 nextReport = std::chrono::steady_clock::now() + options.heartbeat;
             }
@@ -189,6 +207,7 @@
                 co_await wake.async_wait(AsTuple);
             }
         }
+        co_return absl::CancelledError("the link ends");
     }
 
     NodeReport report() const
@@ -216,8 +235,19 @@
 }
 
 ControlLink::~ControlLink()
+{
+    stop();
+}
+
+void ControlLink::stop()
 {
     m_impl->stopped = true;
+    asio::post(m_impl->loop, [impl = m_impl] { impl->wake.cancel(); });
+}
+
+bool ControlLink::connected() const
+{
+    return m_impl->connected;
 }
 
 void ControlLink::start()
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -8,14 +8,16 @@
 {
 
 constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
+/// Answers that the expected work of a route is averaged over.
+constexpr int WorkSamples = 20;
 
-/// Notices whether the body was used up. The body of a request with a key is held, so that it can be sent again.
+/// Notices whether the body was used up. A body within the bound is held, so that it can be sent again.
 class TrackedSource : public BodySource
 {
 public:
-    TrackedSource(BodySource &source, bool holds)
+    TrackedSource(BodySource &source, std::size_t holdBytes)
         : m_source(source)
-        , m_holds(holds)
+        , m_holdBytes(holdBytes)
     {
     }
 
@@ -25,12 +27,12 @@
             co_return m_held[m_next++];
         }
         auto part = co_await m_source.read();
-        if (part.ok() && m_holds && m_heldBytes <= MaxKeyedBytes) {
+        if (part.ok() && !m_touched && m_heldBytes + part->size() <= m_holdBytes) {
             m_heldBytes += part->size();
             m_held.push_back(*part);
             m_next = m_held.size();
         } else {
-            m_touched = true;
+            m_touched = m_touched || !part.ok() || !part->empty();
         }
         co_return part;
     }
@@ -54,7 +56,7 @@
 
 private:
     BodySource &m_source;
-    bool m_holds;
+    std::size_t m_holdBytes;
     std::vector<std::string> m_held;
     std::size_t m_heldBytes = 0;
     std::size_t m_next = 0;
@@ -121,10 +123,10 @@
         : m_dispatcher(dispatcher)
         , m_shard(std::move(shard))
         , m_request(request)
-        , m_source(source, isKeyed(request.head))
+        , m_source(source, isKeyed(request.head) ? MaxKeyedBytes : dispatcher.m_options.holdBodyBytes)
         , m_sink(sink)
         , m_progress(progress)
-        , m_plan(request.head.method, !findField(request.head.headers, RetryHeader).empty())
+        , m_plan(rulesOf(dispatcher, *m_shard, request))
     {
     }
 
@@ -155,6 +157,19 @@
     }
 
 private:
+    static CallRules rulesOf(const Dispatcher &dispatcher, ServiceShard &shard, const CallerRequest &request)
+    {
+        CallRules rules;
+        rules.repeatable = request.head.repeatable;
+        rules.belowRetry = !findField(request.head.headers, RetryHeader).empty();
+        rules.maxTargets = request.maxTargets;
+        rules.alwaysQueues = dispatcher.m_options.alwaysQueues;
+        const std::lock_guard lock(shard.mutex);
+        const auto work = shard.workByRoute.find(request.head.route);
+        rules.work = work == shard.workByRoute.end() ? Duration::zero() : work->second;
+        return rules;
+    }
+
     std::optional<PlannedTry> plan()
     {
         const std::lock_guard lock(m_shard->mutex);
@@ -176,6 +191,8 @@
         m_request.head.target = planned.choice.target;
         m_request.head.mayQueue = planned.mayQueue;
         m_request.head.timeLeftMs = toWholeMilliseconds(m_request.deadline - now());
+        const bool inTime = m_request.objective != TimePoint::max() && m_request.objective > now();
+        m_request.head.objectiveLeftMs = inTime ? toWholeMilliseconds(m_request.objective - now()) : 0;
         m_source.rewind();
         m_progress = {m_plan.overall(Execution::NotRun), false};
         m_sink.setWantsRetry([this](const ResponseHead &head) { return dropsAnswer(head); });
@@ -184,10 +201,18 @@
         note.ended(result);
         if (result.whole) {
             m_dispatcher.m_headLatency.Observe(std::chrono::duration<double>(result.headLatency).count());
+            learnWork(result.headLatency);
         }
         co_return result;
     }
 
+    void learnWork(Duration latency)
+    {
+        const std::lock_guard lock(m_shard->mutex);
+        Duration &work = m_shard->workByRoute[m_request.head.route];
+        work = work == Duration::zero() ? latency : work + (latency - work) / WorkSamples;
+    }
+
     /// Sends a request with a key to the node that holds the claim to it, which knows what became of it.
     asio::awaitable<ExchangeResult> runAtOwner(const ExchangeResult &refused)
     {
@@ -210,21 +235,22 @@
     bool dropsAnswer(const ResponseHead &head)
     {
         const std::lock_guard lock(m_shard->mutex);
-        return m_plan.dropsAnswer(endOf(Execution::Ran, head.status), m_shard->router, m_shard->budget);
+        return m_plan.dropsAnswer(endOf(Execution::Ran, true, head.status), m_shard->router, m_shard->budget);
     }
 
     bool goesOn(const ExchangeResult &result)
     {
         const std::lock_guard lock(m_shard->mutex);
-        return m_plan.goesOn(endOf(result.execution, result.status), m_shard->router, m_shard->budget);
+        return m_plan.goesOn(endOf(result.execution, result.reachedTarget, result.status), m_shard->router, m_shard->budget);
     }
 
-    TryEnd endOf(Execution execution, std::uint16_t status) const
+    TryEnd endOf(Execution execution, bool reachedTarget, std::uint16_t status) const
     {
         TryEnd end;
         end.execution = execution;
+        end.reachedTarget = reachedTarget;
         end.status = status;
-        end.answerStarted = m_progress.answerStarted;
+        end.answerStarted = m_sink.committed();
         end.bodyTouched = m_source.touched();
         end.timeLeft = m_request.deadline - now();
         return end;
@@ -307,7 +333,7 @@
     if (!link) {
         const auto address = parseAddress(record.peerAddress);
         link = std::make_shared<PeerLink>(address.value_or(Address{"127.0.0.1", 0}), *m_options.clock,
-                                          m_options.stallTimeout);
+                                          m_options.peers);
     }
     return link;
 }
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -23,8 +23,10 @@
 public:
     struct Options {
         const Clock *clock = nullptr; ///< Tells the time.
-        Duration stallTimeout{}; ///< Time without progress of a body.
+        PeerOptions peers; ///< Times of exchanges with other nodes.
         std::string node; ///< Name of the node, for log lines.
+        std::size_t holdBodyBytes = 0; ///< Request bodies up to this size are held, so that they can be sent again.
+        bool alwaysQueues = false; ///< Whether each guard may let a request wait if it can still be in time.
     };
 
     Dispatcher(Options options, ServiceTable &services, LocalTargets &local, EventLog &log, Metrics &metrics);
--- a/src/daemon/eventlog.cpp
+++ b/src/daemon/eventlog.cpp
@@ -4,8 +4,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <spdlog/logger.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 
 #include <algorithm>
 #include <atomic>
@@ -14,6 +15,7 @@
 #include <iterator>
 #include <mutex>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace shallotrelay
@@ -23,7 +25,7 @@
 
 constexpr std::size_t MaxWaitingLines = 8192;
 /// Lines gather for this long before they are written, so that a busy node does not wake its writer for each one.
-constexpr std::chrono::milliseconds GatherTime{20};
+constexpr std::chrono::milliseconds GatherTime{100};
 
 spdlog::level::level_enum toSpdlog(LogLevel level)
 {
@@ -51,6 +53,43 @@
     out->append(nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
+/// Writes to a descriptor that is open already, a whole batch of lines at once.
+class DescriptorSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+    explicit DescriptorSink(int fd)
+        : m_fd(fd)
+    {
+    }
+
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override
+    {
+        formatter_->format(message, m_batch);
+    }
+
+    void flush_() override
+    {
+        std::size_t at = 0;
+        while (at < m_batch.size()) {
+            const ssize_t n = ::write(m_fd, m_batch.data() + at, m_batch.size() - at);
+            if (n < 0 && errno == EINTR) {
+                continue;
+            }
+            if (n <= 0) {
+                // Nobody reads the log any more; there is nowhere left to say so.
+                break;
+            }
+            at += static_cast<std::size_t>(n);
+        }
+        m_batch.clear();
+    }
+
+private:
+    int m_fd;
+    spdlog::memory_buf_t m_batch;
+};
+
 /// A line with the time at which it was logged.
 struct Line {
     spdlog::log_clock::time_point time;
@@ -155,10 +194,13 @@
 
 absl::StatusOr<std::unique_ptr<EventLog>> EventLog::open(const std::string &path, const std::string &level)
 {
-    constexpr const char *StandardError = "/dev/stderr";
     try {
-        // Standard error is opened as a file, since its own stream writes each line by itself.
-        auto sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(path.empty() ? StandardError : path);
+        spdlog::sink_ptr sink;
+        if (path.empty() || path == StandardOutput) {
+            sink = std::make_shared<DescriptorSink>(path.empty() ? STDERR_FILENO : STDOUT_FILENO);
+        } else {
+            sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(path);
+        }
         auto impl = std::make_unique<Impl>(std::move(sink), spdlog::level::from_str(level));
         return std::unique_ptr<EventLog>(new EventLog(std::move(impl)));
     } catch (const spdlog::spdlog_ex &error) {
--- a/src/daemon/eventlog.h
+++ b/src/daemon/eventlog.h
@@ -43,11 +43,14 @@
     std::string m_text;
 };
 
+/// Names standard output in place of a file.
+inline constexpr std::string_view StandardOutput = "-";
+
 /// Writes JSON lines. Safe for use by several threads.
 class EventLog
 {
 public:
-    /// Writes to the file, or to standard error if the path is empty.
+    /// Writes to the file, to standard output if the path is "-", or to standard error if it is empty.
     static absl::StatusOr<std::unique_ptr<EventLog>> open(const std::string &path, const std::string &level);
 
     ~EventLog();
--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -84,7 +84,7 @@
     const bool changed = !entry.guarded || !sameAnnouncement(entry.announcement, announcement);
     entry.renewed = m_options.clock->now();
     if (!entry.guarded) {
-        GuardedTargetOptions options;
+        GuardedTargetOptions options = m_options.targets;
         options.clock = m_options.clock;
         options.stallTimeout = m_options.stallTimeout;
         options.onRefusal = [this](GuardRefusal refusal) {
@@ -116,6 +116,19 @@
     return changed;
 }
 
+void LocalTargets::remove(const ServiceId &service, const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(keyOf(service, name));
+    if (it == m_entries.end()) {
+        return;
+    }
+    it->second.guarded->announcementEnded();
+    m_log.write(LogLevel::Info, "target", LogFields().add("target", it->first).add("state", "replaced"));
+    m_entries.erase(it);
+    publish();
+}
+
 bool LocalTargets::expire()
 {
     const std::lock_guard lock(m_mutex);
@@ -228,13 +241,15 @@
         return policy;
     }
     const TargetBounds &bounds = found->boundsOf(entry.announcement.name);
-    policy.served = found->dataCentres.contains(m_options.dataCentre) && bundle->bundle.inService(m_options.dataCentre);
+    policy.served = found->servedIn(m_options.dataCentre) && bundle->bundle.inService(m_options.dataCentre);
     policy.slots = bounds.slots;
     policy.connections = bounds.connections;
     policy.coldSlots = found->coldSlots;
     policy.coldRamp = found->coldRamp;
     policy.queueLength = found->queueLength;
     policy.queueWait = found->queueWait;
+    policy.coldPerSecond = found->coldPerSecond;
+    policy.coldTime = found->coldTime;
     return policy;
 }
 
--- a/src/daemon/localtargets.h
+++ b/src/daemon/localtargets.h
@@ -38,6 +38,7 @@
         std::string dataCentre; ///< Data centre of the node.
         std::string peerAddress; ///< Where other nodes send requests.
         std::uint64_t incarnation = 0; ///< Rises each time that the node starts.
+        GuardedTargetOptions targets; ///< What each guarded target gets; its clock and hooks of the node are set here.
     };
 
     LocalTargets(Options options, ServiceTable &services, EventLog &log, Metrics &metrics,
@@ -46,6 +47,9 @@
     /// Takes in an announcement; returns whether something about the target changed.
     bool announce(const Announcement &announcement);
 
+    /// Forgets a target that another one has replaced; what runs goes on.
+    void remove(const ServiceId &service, const std::string &name);
+
     /// Ends announcements that were not renewed; returns whether one ended.
     bool expire();
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -59,6 +59,13 @@
     return options;
 }
 
+PeerOptions peerOptions(const NodeSettings &settings)
+{
+    PeerOptions options;
+    options.stallTimeout = settings.stallTimeout;
+    return options;
+}
+
 /// Returns what the node knows of each service, for operators.
 nlohmann::ordered_json describe(const ServiceTable &services)
 {
@@ -90,14 +97,14 @@
         , services(clock, routerOptions(settings), seedOf(settings))
         , keys(std::make_shared<NodeKeys>(KeyRetention, MaxKeptAnswerBytes,
                                           [this](ClaimRequest request) { return claim(std::move(request)); }))
-        , local({&clock, settings.announceLease, settings.stallTimeout, settings.dataCentre, "", incarnation}, services,
+        , local({&clock, settings.announceLease, settings.stallTimeout, settings.dataCentre, "", incarnation, {}}, services,
                 log, metrics, keys)
-        , dispatcher({&clock, settings.stallTimeout, settings.name}, services, local, log, metrics)
+        , dispatcher({&clock, peerOptions(settings), settings.name, 0, false}, services, local, log, metrics)
         , door(runtime, clock, doorOptions(settings),
                [this](CallerRequest &request, BodySource &source, CallerSink &sink, ExchangeProgress &progress) {
                    return dispatcher.dispatch(request, source, sink, progress);
                })
-        , peers(runtime, clock, settings.stallTimeout,
+        , peers(runtime, clock, peerOptions(settings),
                 [this](const RequestHead &head) {
                     return local.findBackend({head.firm, head.service}, head.target);
                 })
--- a/src/daemon/servicetable.cpp
+++ b/src/daemon/servicetable.cpp
@@ -1,6 +1,7 @@
 #include "daemon/servicetable.h"
 
 #include <algorithm>
+#include <set>
 
 namespace shallotrelay
 {
@@ -17,9 +18,10 @@
     target.dataCentre = record.dataCentre;
     target.state = record.state;
     target.bootId = record.bootId;
-    const std::uint32_t slots = std::min(policy.boundsOf(record.name).slots, record.slots);
+    const std::uint32_t bound = policy.boundsOf(record.name).slots;
+    const std::uint32_t slots = bound == 0 ? record.slots : std::min(bound, record.slots);
     target.limit = record.state == TargetState::Cold ? std::min(policy.coldSlots, slots) : slots;
-    target.inService = policy.dataCentres.contains(record.dataCentre) && bundle.bundle.inService(record.dataCentre);
+    target.inService = policy.servedIn(record.dataCentre) && bundle.bundle.inService(record.dataCentre);
     return target;
 }
 
@@ -38,16 +40,38 @@
     if (!parsed.ok()) {
         return parsed.status();
     }
+    return applyChecked(accepted.revision, std::move(parsed->bundle));
+}
+
+bool ServiceTable::applyChecked(std::uint64_t revision, Bundle bundle)
+{
     const std::unique_lock lock(m_mutex);
-    auto &current = m_bundles[parsed->bundle.firm];
-    if (current && current->revision >= accepted.revision) {
+    auto &current = m_bundles[bundle.firm];
+    if (current && current->revision >= revision) {
         return false;
     }
-    current = std::make_shared<AppliedBundle>(AppliedBundle{accepted.revision, std::move(parsed->bundle)});
+    RouteTable routes(bundle.routes);
+    current = std::make_shared<AppliedBundle>(AppliedBundle{revision, std::move(bundle), std::move(routes)});
     rebuild();
     return true;
 }
 
+void ServiceTable::dropDirectory(const std::string &source)
+{
+    const std::unique_lock lock(m_mutex);
+    m_directory.drop(source);
+    rebuild();
+}
+
+void ServiceTable::noteLoad(const ServiceId &service, const std::string &target, const LoadReport &load)
+{
+    const auto shard = find(service);
+    if (shard) {
+        const std::lock_guard lock(shard->mutex);
+        shard->router.reported(target, load, m_clock.now());
+    }
+}
+
 void ServiceTable::applyDirectory(const std::string &source, const DirectoryUpdate &update)
 {
     const std::unique_lock lock(m_mutex);
@@ -64,6 +88,23 @@
     applyDirectory(LocalSource, update);
 }
 
+void ServiceTable::setRetryBurst(double retries)
+{
+    const std::unique_lock lock(m_mutex);
+    m_retryBurst = retries;
+    rebuild();
+}
+
+std::vector<std::string> ServiceTable::peers() const
+{
+    const std::shared_lock lock(m_mutex);
+    std::set<std::string> out;
+    for (const TargetRecord &it : m_directory.targets()) {
+        out.insert(it.peerAddress);
+    }
+    return {out.begin(), out.end()};
+}
+
 std::uint64_t ServiceTable::directorySequence(const std::string &source) const
 {
     const std::shared_lock lock(m_mutex);
@@ -141,6 +182,9 @@
     const std::lock_guard lock(shard.mutex);
     shard.router.setTargets(targets, m_clock.now());
     shard.budget.setPercent(policy.retryPercent);
+    if (m_retryBurst) {
+        shard.budget.setBurst(*m_retryBurst);
+    }
     shard.records = std::move(byName);
 }
 
--- a/src/daemon/servicetable.h
+++ b/src/daemon/servicetable.h
@@ -37,12 +37,14 @@
     RetryBudget budget; ///< Bounds retries.
     Random random; ///< What the router draws from.
     std::map<std::string, TargetRecord> records; ///< The announced targets by name.
+    std::map<std::string, Duration> workByRoute; ///< Average time until the head of an answer, by route.
 };
 
 /// A bundle that a node applies.
 struct AppliedBundle {
     std::uint64_t revision = 0; ///< Revision given at acceptance.
     Bundle bundle; ///< The bundle.
+    RouteTable routes; ///< Finds its routes.
 };
 
 /// Holds what a node knows of services. Safe for use by several threads.
@@ -55,6 +57,16 @@
     /// Applies an accepted bundle unless the node applies the same or a newer one; returns whether it was applied.
     absl::StatusOr<bool> applyBundle(const AcceptedBundle &accepted);
 
+    /// Applies a bundle that needs no check of its signatures, unless the same or a newer one is applied; returns
+    /// whether it was applied.
+    bool applyChecked(std::uint64_t revision, Bundle bundle);
+
+    /// Forgets what a control VM told, once the link to it is lost and others tell as much.
+    void dropDirectory(const std::string &source);
+
+    /// Takes in a load report of a target's guard.
+    void noteLoad(const ServiceId &service, const std::string &target, const LoadReport &load);
+
     /// Takes in a directory update of a control VM.
     void applyDirectory(const std::string &source, const DirectoryUpdate &update);
 
@@ -64,6 +76,12 @@
     /// Returns the directory sequence that was applied from a control VM.
     std::uint64_t directorySequence(const std::string &source) const;
 
+    /// Sets how many retries of each service the node may save up.
+    void setRetryBurst(double retries);
+
+    /// Returns where the nodes beside all known targets take requests, each once.
+    std::vector<std::string> peers() const;
+
     /// Finds a service that a bundle names, or returns nullptr.
     std::shared_ptr<ServiceShard> find(const ServiceId &id) const;
 
@@ -87,6 +105,7 @@
     mutable std::shared_mutex m_mutex;
     std::map<std::string, std::shared_ptr<const AppliedBundle>> m_bundles;
     DirectoryView m_directory;
+    std::optional<double> m_retryBurst;
     std::map<ServiceId, std::shared_ptr<ServiceShard>> m_services;
 };
 
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -8,13 +8,24 @@
 namespace
 {
 
+/// Share of one answer in the usual latency; about the last hundred answers count.
 constexpr double BaselineWeight = 0.01;
+/// Share of one answer in the recent latency; about the last five answers count.
 constexpr double RecentWeight = 0.2;
+/// Share of one answer in the expected work of its route; about the last ten answers count.
+constexpr double RouteWeight = 0.1;
+/// Share of one answer in the share of failures.
 constexpr double FailureWeight = 0.15;
+/// A request is old when it has waited this many times the usual latency for its answer.
 constexpr double SlowFactor = 3.0;
+/// An answer is fast again when it took at most this many times the usual latency.
 constexpr double FastFactor = 2.0;
+/// Answers before the usual latency is trusted.
 constexpr std::uint64_t MinSamplesForSlowness = 50;
+/// Old requests, or fast answers, that make a change of speed.
 constexpr std::uint32_t MinOldForSlowness = 3;
+/// Routes whose work is remembered; a bound against routes that come and go.
+constexpr std::size_t MaxRoutes = 1024;
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(10);
 constexpr Duration LeavingRetryAfter = std::chrono::seconds(1);
 /// A target that stays slow for this long is taken to be as fast as it gets.
@@ -47,10 +58,14 @@
         return "none";
     case GuardRefusal::AtLimit:
         return "at-limit";
+    case GuardRefusal::TooLate:
+        return "too-late";
     case GuardRefusal::QueueFull:
         return "queue-full";
     case GuardRefusal::Leaving:
         return "leaving";
+    case GuardRefusal::Held:
+        return "held";
     case GuardRefusal::NotServed:
         return "not-served";
     case GuardRefusal::Absent:
@@ -69,6 +84,8 @@
     const bool returned = policy.served && !m_policy.served;
     m_policy = policy;
     if (returned) {
+        // Targets may have turned cold while they got no work.
+        m_coldUntil = std::max(m_coldUntil, now + policy.coldTime);
         startRamp(std::max(policy.coldSlots, policy.slots / 2), now);
     }
     if (standingRefusal() != GuardRefusal::None) {
@@ -86,6 +103,9 @@
     if (restarted) {
         enterCold(now);
     }
+    if (announcement.coldLeft) {
+        m_coldUntil = now + *announcement.coldLeft;
+    }
     if (restarted || becameReady || m_suspected) {
         startRamp(m_policy.coldSlots, now);
     }
@@ -103,6 +123,11 @@
     return refuseAllWaiting();
 }
 
+void Guard::holdUntil(TimePoint until)
+{
+    m_heldUntil = until;
+}
+
 void Guard::suspectRestart(TimePoint now)
 {
     m_suspected = true;
@@ -118,10 +143,21 @@
 void Guard::enterCold(TimePoint now)
 {
     startRamp(m_policy.coldSlots, now);
+    m_coldUntil = now + m_policy.coldTime;
     m_slow = false;
     m_samples = 0;
 }
 
+void Guard::setPace(std::uint32_t percent, TimePoint)
+{
+    m_pacePercent = percent;
+}
+
+bool Guard::cold(TimePoint now) const
+{
+    return now < m_coldUntil;
+}
+
 GuardRefusal Guard::standingRefusal() const
 {
     if (!m_present) {
@@ -165,7 +201,7 @@
 
 std::uint32_t Guard::limit(TimePoint now) const
 {
-    if (standingRefusal() != GuardRefusal::None) {
+    if (standingRefusal() != GuardRefusal::None || now < m_heldUntil) {
         return 0;
     }
     const std::uint32_t ramp = rampLimit(now);
@@ -180,12 +216,17 @@
     if (answer.refusal != GuardRefusal::None) {
         return answer;
     }
+    if (now < m_heldUntil) {
+        answer.refusal = GuardRefusal::Held;
+        answer.retryAfter = LeastRetryAfter;
+        return answer;
+    }
     if (offer.deadline <= now) {
         answer.refusal = GuardRefusal::Expired;
         return answer;
     }
-    if (m_waiting.empty() && m_running.size() < limit(now)) {
-        m_running[offer.ticket] = {now, false};
+    if (m_waiting.size() == 0 && mayStart(now)) {
+        start(offer.ticket, offer.route, now);
         answer.kind = GuardAnswer::Kind::Admitted;
         return answer;
     }
@@ -195,15 +236,55 @@
         answer.refusal = queues ? GuardRefusal::QueueFull : GuardRefusal::AtLimit;
         return answer;
     }
-    m_waiting.push_back({offer.ticket, std::min(offer.deadline, now + m_policy.queueWait)});
+    const WaitingRequest request{offer.ticket,   offer.priority,           offer.objective,
+                                 offer.deadline, now + m_policy.queueWait, expectedWork(offer.route)};
+    const WaitingAnswer waiting = m_waiting.offer(request, rate(now), now);
+    if (!waiting.waits) {
+        answer.refusal = GuardRefusal::TooLate;
+        answer.retryAfter = std::max(LeastRetryAfter, waiting.excess);
+        return answer;
+    }
+    m_waitingRoutes[offer.ticket] = offer.route;
     answer.kind = GuardAnswer::Kind::Queued;
     return answer;
 }
 
+void Guard::start(GuardTicket ticket, const std::string &route, TimePoint now)
+{
+    m_running[ticket] = {now, false, route};
+    m_coldRate.started(now);
+}
+
+bool Guard::mayStart(TimePoint now)
+{
+    if (m_running.size() >= limit(now)) {
+        return false;
+    }
+    return !cold(now) || m_policy.coldPerSecond <= 0 || m_coldRate.allows(m_policy.coldPerSecond, now);
+}
+
+/// Unknown routes are expected to take as long as the others.
+Duration Guard::expectedWork(const std::string &route) const
+{
+    const auto it = m_workByRoute.find(route);
+    return fromSeconds(it == m_workByRoute.end() ? m_recentLatency : it->second);
+}
+
+ServiceRate Guard::rate(TimePoint now) const
+{
+    ServiceRate out;
+    out.slots = std::max(1U, limit(now));
+    if (cold(now) && m_policy.coldPerSecond > 0) {
+        out.slots = std::clamp(m_policy.coldPerSecond * m_recentLatency, 1.0, out.slots);
+    }
+    out.untilFirstSlot = fromSeconds(m_recentLatency / out.slots);
+    return out;
+}
+
 bool Guard::withdraw(GuardTicket ticket)
 {
-    const auto same = [&](const Waiting &it) { return it.ticket == ticket; };
-    return std::erase_if(m_waiting, same) > 0;
+    m_waitingRoutes.erase(ticket);
+    return m_waiting.remove(ticket);
 }
 
 void Guard::headArrived(GuardTicket ticket, TimePoint)
@@ -216,12 +297,22 @@
 
 GuardRelease Guard::finished(GuardTicket ticket, const GuardOutcome &outcome, TimePoint now)
 {
-    if (m_running.erase(ticket) == 0) {
+    const auto running = m_running.find(ticket);
+    if (running == m_running.end()) {
         return {};
     }
+    const std::string route = running->second.route;
+    m_running.erase(running);
     m_failureShare = blend(m_failureShare, outcome.failed ? 1.0 : 0.0, FailureWeight);
     if (outcome.answered && !outcome.failed) {
         learnLatency(outcome, now);
+        const double latency = toSeconds(outcome.headLatency);
+        const auto known = m_workByRoute.find(route);
+        if (known != m_workByRoute.end()) {
+            known->second = blend(known->second, latency, RouteWeight);
+        } else if (m_workByRoute.size() < MaxRoutes) {
+            m_workByRoute[route] = latency;
+        }
     }
     return releaseWaiting(now);
 }
@@ -284,19 +375,15 @@
 GuardRelease Guard::releaseWaiting(TimePoint now)
 {
     GuardRelease release;
-    const auto waitedTooLong = [&](const Waiting &it) {
-        if (it.giveUp <= now) {
-            release.expired.push_back(it.ticket);
-        }
-        return it.giveUp <= now;
-    };
-    std::erase_if(m_waiting, waitedTooLong);
-    const std::uint32_t bound = limit(now);
-    while (!m_waiting.empty() && m_running.size() < bound) {
-        const GuardTicket ticket = m_waiting.front().ticket;
-        m_running[ticket] = {now, false};
+    release.expired = m_waiting.dropHopeless(rate(now), now);
+    for (const GuardTicket it : release.expired) {
+        m_waitingRoutes.erase(it);
+    }
+    while (m_waiting.size() > 0 && mayStart(now)) {
+        const GuardTicket ticket = m_waiting.takeNext(now)->ticket;
+        start(ticket, m_waitingRoutes[ticket], now);
+        m_waitingRoutes.erase(ticket);
         release.admitted.push_back(ticket);
-        m_waiting.pop_front();
     }
     return release;
 }
@@ -304,10 +391,8 @@
 GuardRelease Guard::refuseAllWaiting()
 {
     GuardRelease release;
-    for (const Waiting &it : m_waiting) {
-        release.expired.push_back(it.ticket);
-    }
-    m_waiting.clear();
+    release.expired = m_waiting.clear();
+    m_waitingRoutes.clear();
     return release;
 }
 
@@ -323,11 +408,16 @@
     LoadReport report;
     report.inFlight = inFlight();
     report.limit = limit(now);
+    if (cold(now) && m_policy.coldPerSecond > 0) {
+        // Other nodes count in slots; a bound on starts keeps about this many of them busy.
+        report.limit = std::min(report.limit, static_cast<std::uint32_t>(std::ceil(rate(now).slots)));
+    }
     report.queued = queued();
     report.state = m_present ? m_announcement.state : TargetState::Leaving;
     report.failurePerMille = static_cast<std::uint32_t>(std::lround(m_failureShare * 1000));
     report.latencyUs = static_cast<std::uint32_t>(std::min(m_recentLatency * 1e6, 4e9));
     report.revision = m_policy.revision;
+    report.pacePercent = m_pacePercent;
     return report;
 }
 
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -166,6 +166,11 @@
     from.sequence = update.sequence;
 }
 
+void DirectoryView::drop(const std::string &source)
+{
+    m_sources.erase(source);
+}
+
 std::uint64_t DirectoryView::sequenceOf(const std::string &source) const
 {
     const auto it = m_sources.find(source);
--- /dev/null
+++ b/src/membership/targetpresence.cpp
@@ -0,0 +1,65 @@
+#include "shallotrelay/membership/targetpresence.h"
+
+namespace shallotrelay
+{
+
+bool TargetPresence::isOlder(const TargetHeartbeat &heartbeat) const
+{
+    if (!m_current) {
+        return false;
+    }
+    const TargetHeartbeat &known = m_current->said;
+    if (heartbeat.bornMs != 0 && known.bornMs != 0 && heartbeat.bornMs != known.bornMs) {
+        return heartbeat.bornMs < known.bornMs;
+    }
+    return heartbeat.id == known.id && heartbeat.sequence <= known.sequence && known.sequence != 0;
+}
+
+bool TargetPresence::heartbeat(const TargetHeartbeat &heartbeat)
+{
+    if (isOlder(heartbeat)) {
+        return false;
+    }
+    const bool sameId = m_current && m_current->said.id == heartbeat.id;
+    const bool sameBirth = m_current && (m_current->said.bornMs == heartbeat.bornMs || m_current->said.bornMs == 0);
+    const bool sameStart = sameId && sameBirth;
+    const bool wasLeaving = sameStart && m_current->said.leaving;
+    const std::uint64_t start = sameStart ? m_current->start : ++m_starts;
+    m_current = PresentTarget{heartbeat, start};
+    // A start that has said that it leaves does not come back.
+    m_current->said.leaving = heartbeat.leaving || wasLeaving;
+    return true;
+}
+
+bool TargetPresence::left(const std::string &id)
+{
+    if (!m_current || m_current->said.id != id) {
+        return false;
+    }
+    m_current->said.leaving = true;
+    return true;
+}
+
+bool TargetPresence::probed(const TargetProbe &probe, const std::string &service, const std::string &address)
+{
+    const bool known = m_current && m_current->said.id == probe.id;
+    if (!known) {
+        TargetHeartbeat said;
+        said.id = probe.id;
+        said.service = m_current ? m_current->said.service : service;
+        said.address = address;
+        said.slots = probe.slots > 0 ? probe.slots : (m_current ? m_current->said.slots : 1);
+        m_current = PresentTarget{said, ++m_starts};
+    }
+    if (probe.coldLeft) {
+        m_current->said.coldLeft = *probe.coldLeft;
+    }
+    return !known;
+}
+
+const std::optional<PresentTarget> &TargetPresence::current() const
+{
+    return m_current;
+}
+
+}
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -51,7 +51,7 @@
 };
 
 Door::Door(Runtime &runtime, const Clock &clock, DoorOptions options, Dispatch dispatch)
-    : m_impl(std::make_shared<Impl>(runtime, DoorContext(clock, options, std::move(dispatch))))
+    : m_impl(std::make_shared<Impl>(runtime, DoorContext(clock, std::move(options), std::move(dispatch))))
 {
 }
 
@@ -70,9 +70,14 @@
     return m_impl->listener.address().port;
 }
 
-void Door::drain()
+void Door::wind()
 {
     m_impl->context.draining = true;
+}
+
+void Door::drain()
+{
+    wind();
     m_impl->listener.stop();
 }
 
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -8,6 +8,7 @@
 #include "net/httpfields.h"
 #include "net/neterror.h"
 #include "net/runtime.h"
+#include "shallotrelay/retry/retry.h"
 
 #include <functional>
 #include <memory>
@@ -15,8 +16,27 @@
 namespace shallotrelay
 {
 
+/// The head of a caller's request as the door read it.
+struct CallerHead {
+    std::string method; ///< The HTTP method.
+    std::string target; ///< The request target: path and query.
+    std::string host; ///< The Host field.
+    std::string requestId; ///< The id that the caller gave, empty if none.
+    std::vector<HeaderField> fields; ///< End-to-end fields.
+};
+
+struct CallerRequest;
+
 /// Bounds of the door.
 struct DoorOptions {
+    /// Fills in where a request goes and what may be done with it; NotFound and Unavailable become 404 and 503.
+    using Resolve = std::function<absl::Status(const CallerHead &head, CallerRequest *request)>;
+
+    Resolve resolve; ///< Finds the service of a request; by path and host as findServicePath() does if it is not set.
+    bool keepsRequestIds = false; ///< Whether the id that the caller gave identifies the request.
+    bool fractionalRetryAfter = false; ///< Whether Retry-After may have a fraction, for callers that take one.
+    std::size_t holdBytes = 0; ///< An answer up to this size is held until it is whole, so that it can be fetched again.
+
     Duration headTimeout = std::chrono::seconds(5); ///< Time for a whole request head.
     Duration idleTimeout = std::chrono::seconds(75); ///< Time that a connection may stay idle.
     Duration stallTimeout = std::chrono::seconds(20); ///< Time without progress of a body.
@@ -35,12 +55,17 @@
 
     /// Sets the hook for the present try.
     virtual void setWantsRetry(WantsRetry wantsRetry) = 0;
+
+    /// Returns whether a part of the answer went to the caller, so that it cannot be taken back.
+    virtual bool committed() const = 0;
 };
 
 /// A request that the door read and checked.
 struct CallerRequest {
     RequestHead head; ///< The request; target and time left are filled in for each try.
     TimePoint deadline; ///< Time until which the head of an answer is wanted.
+    TimePoint objective = TimePoint::max(); ///< Time by which the whole answer is wanted.
+    std::uint32_t maxTargets = MaxTries; ///< Targets that it may be sent to.
 };
 
 /// The server for callers.
@@ -60,6 +85,9 @@
     /// Returns the port that it listens on.
     std::uint16_t port() const;
 
+    /// Closes each connection after the answer in progress; new connections are still accepted.
+    void wind();
+
     /// Accepts no more connections; each open one is closed after the answer in progress.
     void drain();
 
--- a/src/net/doorsession.cpp
+++ b/src/net/doorsession.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t CoalesceBytes = 256 * 1024;
 constexpr std::uint16_t CallerGone = 499;
 constexpr std::uint16_t GatewayTimeout = 504;
+constexpr std::uint16_t ServiceUnavailable = 503;
 constexpr std::size_t LingerBytes = 1024 * 1024;
 constexpr Duration LingerBound = std::chrono::seconds(1);
 constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -30,6 +31,10 @@
         return 404;
     case absl::StatusCode::kUnimplemented:
         return 501;
+    case absl::StatusCode::kUnavailable:
+        return 503;
+    case absl::StatusCode::kOutOfRange:
+        return 413;
     case absl::StatusCode::kFailedPrecondition:
         return 417;
     default:
@@ -52,8 +57,21 @@
     return randomId(random);
 }
 
+/// Finds the service that path or host name directly.
+absl::Status resolveByName(const CallerHead &caller, CallerRequest *request)
+{
+    const auto place = findServicePath(caller.target, caller.host);
+    if (!place.ok()) {
+        return place.status();
+    }
+    request->head.firm = place->service.firm;
+    request->head.service = place->service.service;
+    request->head.path = place->path;
+    return absl::OkStatus();
+}
+
 /// Returns the answer that the system itself makes for a request without a whole answer of a target.
-ResponseHead ownAnswer(const ExchangeResult &result, const std::string &requestId, std::string *body)
+ResponseHead ownAnswer(const ExchangeResult &result, const std::string &requestId, bool fractional, std::string *body)
 {
     const std::string execution = toString(result.execution);
     nlohmann::json json = {{"execution", execution}, {"reason", result.reason}, {"request_id", requestId}};
@@ -64,7 +82,8 @@
     head.headers = {{"Content-Type", "application/json"}, {std::string(ExecutionHeader), execution}};
     if (result.retryAfter > Duration::zero()) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(result.retryAfter).count();
-        head.headers.push_back({"Retry-After", std::to_string(seconds)});
+        head.headers.push_back({"Retry-After", fractional ? fmt::format("{:.3f}", toSeconds(result.retryAfter))
+                                                          : std::to_string(seconds)});
         json["retry_after_ms"] = toWholeMilliseconds(result.retryAfter);
     }
     *body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
@@ -156,6 +175,7 @@
         if (m_wantsRetry && m_wantsRetry(head)) {
             co_return absl::AbortedError("the answer is dropped for a new try");
         }
+        m_output.clear();
         ResponseHead out = head;
         out.headers.push_back({std::string(RequestIdHeader), m_requestId});
         const bool streamed = head.bodyKind == BodyKind::Streamed && !m_answersHead;
@@ -164,7 +184,7 @@
         m_sized = head.bodyKind == BodyKind::Sized && !m_answersHead;
         m_bytesLeft = head.contentLength;
         m_output = responseHeadText(out, m_version, m_keepAlive, m_chunked);
-        co_return co_await flushIf(flush == Flush::Now);
+        co_return co_await flushIf(flush == Flush::Now && m_session.m_context.options.holdBytes == 0);
     }
 
     asio::awaitable<absl::Status> chunk(std::string data, Flush flush) override
@@ -180,7 +200,8 @@
         } else {
             m_output.append(data);
         }
-        co_return co_await flushIf(flush == Flush::Now || m_output.size() >= CoalesceBytes);
+        const bool holds = m_output.size() < m_session.m_context.options.holdBytes && !m_committed;
+        co_return co_await flushIf(!holds && (flush == Flush::Now || m_output.size() >= CoalesceBytes));
     }
 
     asio::awaitable<absl::Status> end(const LoadReport &) override
@@ -199,6 +220,11 @@
         co_return absl::OkStatus();
     }
 
+    bool committed() const override
+    {
+        return m_committed;
+    }
+
     /// Returns whether the connection can carry another request.
     bool keepsAlive() const
     {
@@ -211,7 +237,7 @@
         m_keepAlive = m_keepAlive && keepAlive;
         m_wantsRetry = nullptr;
         std::string body;
-        const ResponseHead own = ownAnswer(result, m_requestId, &body);
+        const ResponseHead own = ownAnswer(result, m_requestId, m_session.m_context.options.fractionalRetryAfter, &body);
         co_await head(own, Flush::WithNext);
         if (!m_answersHead) {
             co_await chunk(std::move(body), Flush::WithNext);
@@ -226,6 +252,7 @@
             co_return absl::OkStatus();
         }
         const std::string batch = std::exchange(m_output, {});
+        m_committed = true;
         m_session.m_stream.expires_after(m_session.m_context.options.stallTimeout);
         const auto [ec, n] = co_await asio::async_write(m_session.m_stream, asio::buffer(batch), AsTuple);
         m_session.m_stream.expires_never();
@@ -239,6 +266,7 @@
     bool m_keepAlive;
     bool m_chunked = false;
     bool m_sized = false;
+    bool m_committed = false;
     std::uint64_t m_bytesLeft = 0;
     std::string m_output;
     WantsRetry m_wantsRetry;
@@ -256,6 +284,7 @@
         if (!co_await readHead()) {
             break;
         }
+        m_served = true;
         ++m_context.inProgress;
         const bool goOn = co_await serveRequest();
         --m_context.inProgress;
@@ -286,7 +315,7 @@
 /// Waits for the first byte of a request.
 asio::awaitable<bool> DoorSession::waitForRequest()
 {
-    if (m_context.draining) {
+    if (m_context.draining && m_served) {
         co_return false;
     }
     if (m_buffer.size() > 0) {
@@ -323,7 +352,7 @@
     result.status = status;
     result.reason = std::move(reason);
     std::string body;
-    const ResponseHead head = ownAnswer(result, newRequestId(), &body);
+    const ResponseHead head = ownAnswer(result, newRequestId(), m_context.options.fractionalRetryAfter, &body);
     constexpr unsigned Http11 = 11;
     const std::string text = responseHeadText(head, Http11, false, false) + body;
     // A connection that timed out is closed already; what cannot be written is lost with it.
@@ -338,26 +367,31 @@
     if (const absl::Status status = checkRequestHead(message); !status.ok()) {
         return status;
     }
-    const auto host = message[http::field::host];
-    const auto place = findServicePath({message.target().data(), message.target().size()}, {host.data(), host.size()});
-    if (!place.ok()) {
-        return place.status();
-    }
     const auto wanted = requestedDeadline(message);
     if (!wanted.ok()) {
         return wanted.status();
     }
+    CallerHead caller;
+    caller.method = std::string(message.method_string());
+    caller.target = std::string(message.target());
+    caller.host = std::string(message[http::field::host]);
+    caller.requestId = std::string(message[std::string(RequestIdHeader)]);
+    caller.fields = endToEndFields(message);
     CallerRequest request;
     const Duration span = std::min(wanted->value_or(m_context.options.defaultDeadline), m_context.options.maxDeadline);
     request.deadline = m_context.clock.now() + span;
     RequestHead &head = request.head;
-    head.requestId = newRequestId();
-    head.firm = place->service.firm;
-    head.service = place->service.service;
-    head.path = place->path;
-    head.method = std::string(message.method_string());
-    head.headers = endToEndFields(message);
+    const bool keepsId = m_context.options.keepsRequestIds && !caller.requestId.empty();
+    head.requestId = keepsId ? caller.requestId : newRequestId();
+    head.method = caller.method;
+    head.headers = caller.fields;
     head.idempotencyKey = std::string(message["Idempotency-Key"]);
+    head.repeatable = isSafeMethod(head.method);
+    const absl::Status resolved = m_context.options.resolve ? m_context.options.resolve(caller, &request)
+                                                            : resolveByName(caller, &request);
+    if (!resolved.ok()) {
+        return resolved;
+    }
     const auto length = m_parser->content_length();
     if (m_parser->chunked()) {
         head.bodyKind = BodyKind::Streamed;
@@ -403,13 +437,14 @@
     }
     asio::steady_timer deadline(m_stream.get_executor());
     deadline.expires_at(request.deadline);
-    deadline.async_wait([stop, progress](boost::system::error_code ec) {
+    deadline.async_wait([stop, &sink](boost::system::error_code ec) {
         // The deadline bounds the time until the answer starts; an answer that has started may go on.
-        if (!ec && !progress->answerStarted) {
+        if (!ec && !stop->done() && !sink.committed()) {
             stop->stop(StopReason::Deadline);
         }
     });
     const auto ended = co_await stop->run(m_context.dispatch(request, source, sink, *progress));
+    deadline.cancel();
     boost::system::error_code ignored;
     m_stream.socket().cancel(ignored);
     ExchangeResult result;
@@ -417,11 +452,12 @@
         result = *ended;
     } else {
         const bool late = stop->reason() == StopReason::Deadline;
-        result.status = late ? GatewayTimeout : CallerGone;
+        const bool notRun = progress->execution == Execution::NotRun;
+        result.status = !late ? CallerGone : notRun ? ServiceUnavailable : GatewayTimeout;
         result.reason = late ? "the deadline passed" : "the caller has gone";
         result.execution = progress->execution;
     }
-    if (!result.whole && progress->answerStarted) {
+    if (!result.whole && sink.committed()) {
         // Part of an answer went out; only a closed connection tells the caller that it is not whole.
         result.status = 0;
     }
--- a/src/net/doorsession.h
+++ b/src/net/doorsession.h
@@ -20,14 +20,14 @@
 struct DoorContext {
     DoorContext(const Clock &c, DoorOptions o, Door::Dispatch d)
         : clock(c)
-        , options(o)
+        , options(std::move(o))
         , dispatch(std::move(d))
     {
     }
 
     DoorContext(DoorContext &&other) noexcept
         : clock(other.clock)
-        , options(other.options)
+        , options(std::move(other.options))
         , dispatch(std::move(other.dispatch))
     {
     }
@@ -69,6 +69,7 @@
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    bool m_served = false;
 };
 
 }
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -71,6 +71,7 @@
     bool whole = false; ///< Whether the whole answer went to the sink.
     Execution execution = Execution::NotRun; ///< Whether the request ran.
     std::uint16_t status = 0; ///< Status of the answer, or the one that fits the refusal.
+    bool reachedTarget = false; ///< Whether the request was sent to the target, even if the target rejected it.
     std::string reason; ///< Why there is no whole answer.
     Duration retryAfter{}; ///< When a new try is worthwhile; zero if unknown.
     bool unreachable = false; ///< Whether the target or its node could not be reached or failed.
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -21,7 +21,8 @@
 
 using ConnectionPointer = std::unique_ptr<TargetConnection>;
 
-constexpr Duration ConnectTimeout = std::chrono::seconds(1);
+/// Answers to other requests that are skipped on one connection before it is given up.
+constexpr int MaxSkippedAnswers = 3;
 
 /// A request that waits for a slot, on the event loop of its timer.
 struct Waiter {
@@ -127,14 +128,24 @@
     }
 
     /// Asks the guard; waits in its queue if that is allowed.
-    asio::awaitable<GuardAnswer> acquire(TimePoint deadline, bool mayQueue)
+    asio::awaitable<GuardAnswer> acquire(const RequestHead &head, TimePoint deadline)
     {
         const auto executor = co_await asio::this_coro::executor;
         GuardAnswer answer;
         {
             const std::lock_guard lock(m_impl->mutex);
             m_ticket = ++m_impl->lastTicket;
-            answer = m_impl->guard.offer({m_ticket, deadline, mayQueue}, m_impl->options.clock->now());
+            const TimePoint now = m_impl->options.clock->now();
+            GuardOffer offer;
+            offer.ticket = m_ticket;
+            offer.deadline = deadline;
+            offer.mayQueue = head.mayQueue;
+            offer.priority = head.priority;
+            offer.route = head.route;
+            if (head.objectiveLeftMs > 0) {
+                offer.objective = now + std::chrono::milliseconds(head.objectiveLeftMs);
+            }
+            answer = m_impl->guard.offer(offer, now);
             if (answer.kind == GuardAnswer::Kind::Queued) {
                 m_waiter = std::make_shared<Waiter>(executor);
                 m_impl->waiters[m_ticket] = m_waiter;
@@ -215,6 +226,10 @@
     /// Tells the target to cancel and keeps the slot taken until the target ends its side.
     void abandon()
     {
+        if (m_impl->options.closesAbandoned) {
+            closeAbandoned();
+            return;
+        }
         auto wait = [](std::shared_ptr<Impl> impl, ConnectionPointer connection,
                        GuardTicket ticket) -> asio::awaitable<void> {
             co_await connection->cancelAndWait(impl->options.abandonBound);
@@ -225,6 +240,18 @@
         asio::co_spawn(executor, wait(m_impl, std::move(m_connection), m_ticket), asio::detached);
     }
 
+    /// Closes the connection and keeps the slot taken for the short time in which the target notices.
+    void closeAbandoned()
+    {
+        const asio::any_io_executor executor = m_connection->executor();
+        m_connection.reset();
+        auto wait = [](std::shared_ptr<Impl> impl, GuardTicket ticket) -> asio::awaitable<void> {
+            co_await sleepFor(impl->options.abandonedLinger);
+            impl->finish(ticket, {});
+        };
+        asio::co_spawn(executor, wait(m_impl, m_ticket), asio::detached);
+    }
+
     std::shared_ptr<Impl> m_impl;
     GuardTicket m_ticket = 0;
     std::shared_ptr<Waiter> m_waiter;
@@ -239,12 +266,14 @@
 class GuardedTarget::Exchange
 {
 public:
-    Exchange(Impl &impl, const RequestHead &head, BodySource &source, AnswerSink &sink, ExchangeProgress &progress)
+    Exchange(Impl &impl, const RequestHead &head, BodySource &source, AnswerSink &sink, ExchangeProgress &progress,
+             TimePoint deadline)
         : m_impl(impl)
         , m_head(head)
         , m_source(source)
         , m_sink(sink)
         , m_progress(progress)
+        , m_deadline(deadline)
     {
     }
 
@@ -252,7 +281,7 @@
     {
         m_executor = co_await asio::this_coro::executor;
         const auto executor = m_executor;
-        bool fresh = m_head.bodyKind != BodyKind::None || !isSafeMethod(m_head.method);
+        bool fresh = m_head.bodyKind != BodyKind::None || !m_head.repeatable;
         for (;;) {
             auto connection = co_await open(executor, &fresh);
             if (!connection.ok()) {
@@ -261,6 +290,7 @@
             TargetConnection &held = slot.hold(*std::move(connection));
             m_progress.execution = Execution::Unknown;
             m_sent = true;
+            m_result.reachedTarget = true;
             absl::Status status = co_await converse(slot, held);
             if (status.ok()) {
                 slot.finish();
@@ -297,7 +327,7 @@
             const std::lock_guard lock(m_impl.mutex);
             address = m_impl.address;
         }
-        auto socket = co_await connectTo(executor, address, ConnectTimeout);
+        auto socket = co_await connectTo(executor, address, m_impl.options.connectTimeout);
         if (!socket.ok()) {
             co_return socket.status();
         }
@@ -306,7 +336,8 @@
 
     void keep(const asio::any_io_executor &executor, ConnectionPointer connection)
     {
-        if (connection->reusable()) {
+        const bool bodySent = m_head.bodyKind == BodyKind::None || m_bodySent;
+        if (connection->reusable() && bodySent) {
             connection->releaseMemory();
             m_impl.idle.put(executor, std::move(connection), m_impl.idleBound());
         }
@@ -321,7 +352,14 @@
             const std::lock_guard lock(m_impl.mutex);
             host = m_impl.address.text();
         }
-        const absl::Status sent = co_await connection.write(requestHeadText(m_head, host), m_impl.options.stallTimeout);
+        RequestHead head = m_head;
+        head.timeLeftMs = toWholeMilliseconds(std::max(Duration::zero(), m_deadline - m_impl.options.clock->now()));
+        if (m_impl.options.targetFields) {
+            for (HeaderField &it : m_impl.options.targetFields(m_head)) {
+                head.headers.push_back(std::move(it));
+            }
+        }
+        const absl::Status sent = co_await connection.write(requestHeadText(head, host), m_impl.options.stallTimeout);
         if (!sent.ok()) {
             co_return sent;
         }
@@ -349,18 +387,77 @@
             }
             // A target may answer before it has read the whole body, so a failed write is not yet the end.
             const absl::Status status = co_await connection.write(std::move(bytes), m_impl.options.stallTimeout);
+            m_bodySent = end && status.ok();
             if (end || !status.ok()) {
                 co_await sleepForever();
             }
         }
     }
 
+    /// Reads what is left of an answer and drops it.
+    asio::awaitable<absl::Status> skipBody(TargetConnection &connection)
+    {
+        while (!connection.answerDone()) {
+            const auto part = co_await connection.readBody(m_impl.options.stallTimeout);
+            if (!part.ok()) {
+                co_return part.status();
+            }
+        }
+        co_return absl::OkStatus();
+    }
+
+    /// Reads the head of the answer to this request; answers to others that the target sends late are skipped.
+    asio::awaitable<absl::StatusOr<ResponseHead>> readOwnHead(TargetConnection &connection)
+    {
+        for (int skipped = 0; skipped <= MaxSkippedAnswers; ++skipped) {
+            auto head = co_await connection.readHead(m_head.method == "HEAD");
+            if (!head.ok() || !m_impl.options.checkAnswer) {
+                co_return head;
+            }
+            const AnswerCheck check = m_impl.options.checkAnswer(m_head, *head);
+            if (check.pacePercent > 0) {
+                const std::lock_guard lock(m_impl.mutex);
+                m_impl.guard.setPace(check.pacePercent, m_impl.options.clock->now());
+            }
+            if (check.kind == AnswerCheck::Kind::Invalid) {
+                co_return absl::DataLossError("the target sent what is no answer to the request");
+            }
+            m_rejected = check.kind == AnswerCheck::Kind::Rejected;
+            if (check.kind != AnswerCheck::Kind::OtherRequest) {
+                co_return head;
+            }
+            if (const absl::Status status = co_await skipBody(connection); !status.ok()) {
+                co_return status;
+            }
+        }
+        co_return absl::DataLossError("the target answers other requests only");
+    }
+
+    /// The target did not run the request; its reasons stay between it and the guard.
+    asio::awaitable<absl::Status> takeRejection(Slot &slot, TargetConnection &connection)
+    {
+        constexpr std::uint16_t ServiceUnavailable = 503;
+        slot.failed();
+        m_progress.execution = Execution::NotRun;
+        m_result.execution = Execution::NotRun;
+        m_result.status = ServiceUnavailable;
+        m_result.reason = "rejected by the target";
+        m_result.unreachable = true;
+        if (m_impl.options.onDoubt) {
+            m_impl.options.onDoubt(TargetDoubt::Rejected);
+        }
+        co_return co_await skipBody(connection);
+    }
+
     asio::awaitable<absl::Status> relayAnswer(Slot &slot, TargetConnection &connection)
     {
-        auto head = co_await connection.readHead(m_head.method == "HEAD");
+        auto head = co_await readOwnHead(connection);
         if (!head.ok()) {
             co_return head.status();
         }
+        if (m_rejected) {
+            co_return co_await takeRejection(slot, connection);
+        }
         constexpr std::uint16_t FirstServerError = 500;
         m_result.status = head->status;
         m_result.headLatency = slot.headArrived(head->status >= FirstServerError);
@@ -404,6 +501,9 @@
     {
         slot.failed();
         m_impl.idle.clear(m_executor);
+        if (m_impl.options.onDoubt) {
+            m_impl.options.onDoubt(TargetDoubt::Unreachable);
+        }
         const std::lock_guard lock(m_impl.mutex);
         m_impl.guard.suspectRestart(m_impl.options.clock->now());
         m_result.execution = m_sent ? Execution::Unknown : Execution::NotRun;
@@ -424,6 +524,10 @@
         slot.failed();
         m_result.status = 502;
         m_result.unreachable = true;
+        if (m_impl.options.onDoubt) {
+            m_impl.options.onDoubt(TargetDoubt::CutOff);
+            return m_result;
+        }
         const std::lock_guard lock(m_impl.mutex);
         m_impl.guard.suspectRestart(m_impl.options.clock->now());
         return m_result;
@@ -434,8 +538,11 @@
     BodySource &m_source;
     AnswerSink &m_sink;
     ExchangeProgress &m_progress;
+    TimePoint m_deadline;
     ExchangeResult m_result;
     bool m_sent = false;
+    bool m_bodySent = false;
+    bool m_rejected = false;
     asio::any_io_executor m_executor;
 };
 
@@ -474,6 +581,26 @@
     m_impl->wake(m_impl->guard.tick(m_impl->options.clock->now()));
 }
 
+void GuardedTarget::hold(Duration span)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    const TimePoint now = m_impl->options.clock->now();
+    m_impl->guard.holdUntil(now + span);
+    m_impl->wake(m_impl->guard.tick(now));
+}
+
+void GuardedTarget::suspectRestart()
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->guard.suspectRestart(m_impl->options.clock->now());
+}
+
+void GuardedTarget::setPace(std::uint32_t percent)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->guard.setPace(percent, m_impl->options.clock->now());
+}
+
 LoadReport GuardedTarget::load() const
 {
     const std::lock_guard lock(m_impl->mutex);
@@ -491,7 +618,7 @@
     // Holding on to the implementation lets a cancelled exchange outlive this object.
     const std::shared_ptr<Impl> impl = m_impl;
     Slot slot(impl);
-    const GuardAnswer answer = co_await slot.acquire(deadline, head.mayQueue);
+    const GuardAnswer answer = co_await slot.acquire(head, deadline);
     ExchangeResult result;
     if (answer.kind != GuardAnswer::Kind::Admitted) {
         if (impl->options.onRefusal) {
@@ -505,7 +632,7 @@
                 co_return result;
             }
         }
-        Exchange exchange(*impl, head, source, sink, progress);
+        Exchange exchange(*impl, head, source, sink, progress, deadline);
         result = co_await exchange.run(slot);
     }
     result.reported = true;
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -12,8 +12,38 @@
 namespace shallotrelay
 {
 
+/// What the head of a target's answer shows, besides what HTTP says.
+struct AnswerCheck {
+    enum class Kind {
+        Answer, ///< It is the target's answer to the request.
+        OtherRequest, ///< It answers another request and is to be skipped.
+        Rejected, ///< The target says that it did not run the request.
+        Invalid, ///< It is no answer that may be passed on.
+    };
+
+    Kind kind = Kind::Answer; ///< What it is.
+    std::uint32_t pacePercent = 0; ///< How long work takes on the target's VM at present; 0 if it does not tell.
+};
+
+/// Signs that a target may not be what its guard takes it for.
+enum class TargetDoubt {
+    Unreachable, ///< It takes no connection.
+    CutOff, ///< It ended a connection before its answer was whole.
+    Rejected, ///< It rejected a request.
+};
+
 /// What a guarded target needs from its node.
 struct GuardedTargetOptions {
+    /// Judges the head of an answer; all of them are answers if it is not set.
+    std::function<AnswerCheck(const RequestHead &request, const ResponseHead &answer)> checkAnswer;
+    /// Returns fields that a request to the target gets besides those of the caller.
+    std::function<std::vector<HeaderField>(const RequestHead &request)> targetFields;
+    /// Called at a sign of doubt; without it, a connection that is cut off counts as a restart.
+    std::function<void(TargetDoubt doubt)> onDoubt;
+    Duration connectTimeout = std::chrono::seconds(1); ///< Time for a connection to the target.
+    bool closesAbandoned = false; ///< Whether the target ends work when its connection is closed, not when it is half-closed.
+    Duration abandonedLinger{}; ///< Time for which the slot of closed work stays taken.
+
     const Clock *clock = nullptr; ///< Tells the time.
     Duration stallTimeout = std::chrono::seconds(20); ///< Time without progress after which a body is given up.
     Duration abandonBound = std::chrono::seconds(60); ///< Longest wait for the target to end cancelled work.
@@ -39,6 +69,15 @@
     /// Notices slowness and ends waiting that took too long; call it every few milliseconds.
     void tick();
 
+    /// Refuses all requests for a span of time; zero ends this.
+    void hold(Duration span);
+
+    /// Notes a sign that the target restarted.
+    void suspectRestart();
+
+    /// Notes how long work takes on the VM of the target at present.
+    void setPace(std::uint32_t percent);
+
     /// Returns the load as the guard sees it.
     LoadReport load() const;
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -41,6 +41,9 @@
 {
     http::response<http::string_body> out(static_cast<http::status>(reply.status), Http11);
     out.set(http::field::content_type, reply.contentType);
+    for (const HeaderField &it : reply.fields) {
+        out.set(it.name, it.value);
+    }
     out.keep_alive(keepAlive);
     out.body() = reply.body;
     out.prepare_payload();
@@ -148,6 +151,9 @@
     reply.status = static_cast<std::uint16_t>(parser.get().result_int());
     reply.contentType = std::string(parser.get()[http::field::content_type]);
     reply.body = parser.get().body();
+    for (const auto &it : parser.get()) {
+        reply.fields.push_back({std::string(it.name_string()), std::string(it.value())});
+    }
     co_return reply;
 }
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -3,10 +3,12 @@
 
 #include "net/neterror.h"
 #include "net/runtime.h"
+#include "shallotrelay/messages.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace shallotrelay
 {
@@ -24,6 +26,7 @@
     std::uint16_t status = 200; ///< The status.
     std::string contentType = "application/json"; ///< The content type.
     std::string body; ///< The body.
+    std::vector<HeaderField> fields{}; ///< Further header fields.
 };
 
 /// Serves small requests.
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -33,8 +33,7 @@
                 co_await sleepFor(FailurePause);
                 continue;
             }
-            boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
+            setSocketDefaults(socket.native_handle());
             self->onConnection(loop, std::move(socket));
         }
     }
--- a/src/net/neterror.cpp
+++ b/src/net/neterror.cpp
@@ -7,10 +7,18 @@
 #include <boost/system/system_error.hpp>
 #include <fmt/format.h>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace shallotrelay
 {
+namespace
+{
+
+/// Data that goes unacknowledged for longer ends its connection; several round trips with lost packets take less.
+constexpr std::chrono::milliseconds UnacknowledgedBound(1500);
+
+}
 
 absl::Status toStatus(const boost::system::error_code &ec, std::string_view what)
 {
@@ -66,11 +74,19 @@
     if (ec) {
         co_return toStatus(ec, "connect to " + address.text());
     }
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
+    setSocketDefaults(socket.native_handle());
     co_return socket;
 }
 
+void setSocketDefaults(int handle)
+{
+    const int on = 1;
+    const auto bound = static_cast<int>(UnacknowledgedBound.count());
+    // A socket that refuses an option still works; its connection only ends later.
+    ::setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof bound);
+}
+
 asio::awaitable<void> sleepFor(Duration span)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
--- a/src/net/neterror.h
+++ b/src/net/neterror.h
@@ -46,6 +46,9 @@
 /// Throws if the coroutine was cancelled; call it where a failed operation must not be taken for a fault of the peer.
 asio::awaitable<void> throwIfCancelled();
 
+/// Sets what all connections have: no delay of small writes, and an end when data goes unacknowledged for a while.
+void setSocketDefaults(int handle);
+
 /// Returns whether the other side closed an idle connection or sent something on it.
 bool isStale(tcp::socket &socket);
 
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -12,17 +12,14 @@
 
 using StreamPointer = std::unique_ptr<FrameStream>;
 
-constexpr Duration ConnectTimeout = std::chrono::seconds(1);
 constexpr std::size_t MaxIdleLinks = 32;
-/// The other node shows a sign of life far more often than this while an exchange is in progress.
-constexpr Duration SilenceBound = std::chrono::seconds(2);
 
 }
 
 struct PeerLink::Impl {
     Address address;
     const Clock &clock;
-    Duration stallTimeout;
+    PeerOptions options;
     ConnectionPool<FrameStream> idle;
 };
 
@@ -72,7 +69,7 @@
                 co_return idle;
             }
         }
-        auto socket = co_await connectTo(m_executor, m_impl.address, ConnectTimeout);
+        auto socket = co_await connectTo(m_executor, m_impl.address, m_impl.options.connectTimeout);
         if (!socket.ok()) {
             co_return socket.status();
         }
@@ -109,7 +106,7 @@
     asio::awaitable<absl::Status> waitForAdmission(FrameStream &stream)
     {
         for (;;) {
-            const auto frame = co_await stream.read(SilenceBound);
+            const auto frame = co_await stream.read(m_impl.options.silenceBound);
             if (!frame.ok()) {
                 co_return frame.status();
             }
@@ -148,7 +145,7 @@
     asio::awaitable<absl::Status> relayAnswer(FrameStream &stream)
     {
         for (;;) {
-            const Duration idle = m_progress.answerStarted ? m_impl.stallTimeout : SilenceBound;
+            const Duration idle = m_progress.answerStarted ? m_impl.options.stallTimeout : m_impl.options.silenceBound;
             const auto frame = co_await stream.read(idle);
             if (!frame.ok()) {
                 co_return frame.status();
@@ -246,6 +243,7 @@
         m_result.ownerAddress = refusal->ownerAddress;
         m_result.ownerTarget = refusal->ownerTarget;
         m_result.unreachable = refusal->targetFailed;
+        m_result.reachedTarget = refusal->reachedTarget;
         takeLoad(refusal->load);
         m_finished = true;
         return absl::OkStatus();
@@ -269,8 +267,8 @@
     bool m_finished = false;
 };
 
-PeerLink::PeerLink(Address address, const Clock &clock, Duration stallTimeout)
-    : m_impl(new Impl{std::move(address), clock, stallTimeout, {}})
+PeerLink::PeerLink(Address address, const Clock &clock, PeerOptions options)
+    : m_impl(new Impl{std::move(address), clock, options, {}})
 {
 }
 
--- a/src/net/peerprotocol.h
+++ b/src/net/peerprotocol.h
@@ -12,12 +12,22 @@
 namespace shallotrelay
 {
 
+/// Times of exchanges between nodes.
+struct PeerOptions {
+    Duration stallTimeout = std::chrono::seconds(20); ///< Time without progress of a body.
+    /// Time between signs of life while an answer is not ready; zero if others tell that a node lives.
+    Duration lifeSignInterval = std::chrono::milliseconds(200);
+    /// Time without a sign of life after which an exchange is given up; far more than the interval.
+    Duration silenceBound = std::chrono::seconds(2);
+    Duration connectTimeout = std::chrono::seconds(1); ///< Time for a connection to the other node.
+};
+
 /// Runs exchanges at another node, one at a time on each connection. Safe for use by several threads.
 class PeerLink : public Backend
 {
 public:
     /// Takes the address of the other node.
-    PeerLink(Address address, const Clock &clock, Duration stallTimeout);
+    PeerLink(Address address, const Clock &clock, PeerOptions options);
     ~PeerLink() override;
 
     asio::awaitable<ExchangeResult> run(const RequestHead &head, BodySource &source, AnswerSink &sink,
@@ -37,7 +47,7 @@
     /// Finds the backend of a target beside this node, or returns nullptr.
     using FindTarget = std::function<std::shared_ptr<Backend>(const RequestHead &head)>;
 
-    PeerServer(Runtime &runtime, const Clock &clock, Duration stallTimeout, FindTarget findTarget);
+    PeerServer(Runtime &runtime, const Clock &clock, PeerOptions options, FindTarget findTarget);
     ~PeerServer();
 
     /// Starts to listen.
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -14,8 +14,6 @@
 namespace
 {
 
-/// How often an exchange shows a sign of life while its answer is not ready.
-constexpr Duration WaitingInterval = std::chrono::milliseconds(200);
 constexpr Duration IdleLinkBound = std::chrono::minutes(5);
 constexpr std::size_t FlushBytes = 256 * 1024;
 /// Most of a body that is still read once its request was answered.
@@ -162,18 +160,22 @@
 class LifeSigns : public std::enable_shared_from_this<LifeSigns>
 {
 public:
-    LifeSigns(FrameStream &stream, const FrameAnswerSink &sink, std::string requestId)
+    LifeSigns(FrameStream &stream, const FrameAnswerSink &sink, std::string requestId, Duration interval)
         : m_stream(stream)
         , m_sink(sink)
         , m_requestId(std::move(requestId))
+        , m_interval(interval)
         , m_timer(stream.executor())
     {
     }
 
-    /// Starts to show signs of life.
+    /// Starts to show signs of life, if any are wanted.
     void start()
     {
-        m_timer.expires_after(WaitingInterval);
+        if (m_interval <= Duration::zero()) {
+            return;
+        }
+        m_timer.expires_after(m_interval);
         m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
             if (!ec && !self->m_stopped && !self->m_sink.closed()) {
                 self->m_stream.queue(Waiting{self->m_requestId, {}});
@@ -201,6 +203,7 @@
     FrameStream &m_stream;
     const FrameAnswerSink &m_sink;
     std::string m_requestId;
+    Duration m_interval;
     asio::steady_timer m_timer;
     bool m_stopped = false;
 };
@@ -217,6 +220,7 @@
     refusal.ownerAddress = result.ownerAddress;
     refusal.ownerTarget = result.ownerTarget;
     refusal.targetFailed = result.unreachable;
+    refusal.reachedTarget = result.reachedTarget;
     refusal.load = result.load;
     return refusal;
 }
@@ -224,9 +228,9 @@
 }
 
 struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl> {
-    Impl(Runtime &runtime, const Clock &c, Duration stall, FindTarget find)
+    Impl(Runtime &runtime, const Clock &c, PeerOptions o, FindTarget find)
         : clock(c)
-        , stallTimeout(stall)
+        , options(o)
         , findTarget(std::move(find))
         , listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
             asio::co_spawn(loop, serve(shared_from_this(), std::move(socket)), asio::detached);
@@ -235,7 +239,7 @@
     }
 
     const Clock &clock;
-    Duration stallTimeout;
+    PeerOptions options;
     FindTarget findTarget;
     std::atomic<std::size_t> inProgress = 0;
     Listener listener;
@@ -264,7 +268,7 @@
     /// Serves one exchange and returns whether the connection can carry another one.
     asio::awaitable<bool> serveOne(FrameStream &stream, const RequestHead &head)
     {
-        FrameBodySource source(stream, head, stallTimeout);
+        FrameBodySource source(stream, head, options.stallTimeout);
         FrameAnswerSink sink(stream, head.requestId);
         const auto stop = std::make_shared<StopSource>();
         if (source.atEnd()) {
@@ -272,7 +276,7 @@
         } else {
             source.setOnEnd([&stream, stop] { stream.watchPeer(stop); });
         }
-        const auto signs = std::make_shared<LifeSigns>(stream, sink, head.requestId);
+        const auto signs = std::make_shared<LifeSigns>(stream, sink, head.requestId, options.lifeSignInterval);
         signs->start();
         const auto clean = co_await stop->run(runAndAnswer(stream, head, source, sink));
         signs->stop();
@@ -321,8 +325,8 @@
     }
 };
 
-PeerServer::PeerServer(Runtime &runtime, const Clock &clock, Duration stallTimeout, FindTarget findTarget)
-    : m_impl(std::make_shared<Impl>(runtime, clock, stallTimeout, std::move(findTarget)))
+PeerServer::PeerServer(Runtime &runtime, const Clock &clock, PeerOptions options, FindTarget findTarget)
+    : m_impl(std::make_shared<Impl>(runtime, clock, options, std::move(findTarget)))
 {
 }
 
--- a/src/net/stopsource.h
+++ b/src/net/stopsource.h
@@ -58,6 +58,12 @@
         m_signal.emit(asio::cancellation_type::terminal);
     }
 
+    /// Returns whether the coroutine is over.
+    bool done() const
+    {
+        return m_done;
+    }
+
     /// Returns why the coroutine was ended.
     StopReason reason() const
     {
--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -61,6 +61,7 @@
     ResponseHead head;
     head.status = static_cast<std::uint16_t>(message.result_int());
     head.reason = std::string(message.reason());
+    head.requestId = std::string(message[std::string(RequestIdHeader)]);
     head.headers = endToEndFields(message);
     const bool bodiless = head.status == 204 || head.status == 304;
     const auto length = m_parser->content_length();
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -7,7 +7,9 @@
 namespace
 {
 
-constexpr double MaxSavedRetries = 20;
+/// Retries that can be saved up unless the user says otherwise.
+constexpr double DefaultBurst = 20;
+/// Retries that a service has from its first request on.
 constexpr double InitialRetries = 3;
 
 }
@@ -19,10 +21,17 @@
 
 RetryBudget::RetryBudget(std::uint32_t percent)
     : m_percent(percent)
+    , m_burst(DefaultBurst)
     , m_saved(percent > 0 ? InitialRetries : 0)
 {
 }
 
+void RetryBudget::setBurst(double retries)
+{
+    m_burst = retries;
+    m_saved = std::min(m_saved, m_burst);
+}
+
 void RetryBudget::setPercent(std::uint32_t percent)
 {
     const bool begins = m_percent == 0 && percent > 0;
@@ -33,7 +42,7 @@
 
 void RetryBudget::firstTry()
 {
-    m_saved = std::min(MaxSavedRetries, m_saved + m_percent / 100.0);
+    m_saved = std::min(m_burst, m_saved + m_percent / 100.0);
 }
 
 bool RetryBudget::takeRetry()
@@ -47,16 +56,17 @@
 
 RetryDecision decideRetry(const TryFailure &failure, RetryBudget &budget)
 {
-    if (failure.answerStarted || failure.tries >= MaxTries || failure.timeLeft <= Duration::zero()) {
+    if (failure.answerStarted || failure.offers >= MaxOffers || failure.timeLeft <= Duration::zero()) {
         return RetryDecision::GiveUp;
     }
-    if (!failure.bodyReplayable) {
+    if (!failure.bodyReplayable || failure.targets >= failure.maxTargets) {
         return RetryDecision::GiveUp;
     }
-    if (failure.execution == Execution::NotRun) {
+    if (failure.execution == Execution::NotRun && !failure.reachedTarget) {
         return RetryDecision::TryAnother;
     }
-    if (!isSafeMethod(failure.method) || failure.belowRetry || !budget.takeRetry()) {
+    const bool mayRunAgain = failure.execution == Execution::NotRun || failure.repeatable;
+    if (!mayRunAgain || failure.belowRetry || !budget.takeRetry()) {
         return RetryDecision::GiveUp;
     }
     return RetryDecision::Retry;
--- a/src/routing/callplan.cpp
+++ b/src/routing/callplan.cpp
@@ -23,34 +23,33 @@
     return "invalid";
 }
 
-CallPlan::CallPlan(std::string method, bool belowRetry)
-    : m_method(std::move(method))
-    , m_belowRetry(belowRetry)
+CallPlan::CallPlan(CallRules rules)
+    : m_rules(rules)
 {
 }
 
 std::optional<PlannedTry> CallPlan::next(ServiceRouter &router, RetryBudget &budget, Random &random, TimePoint now)
 {
-    if (m_tries == 0) {
+    if (m_offers == 0) {
         budget.firstTry();
     }
-    const auto choice = router.choose(m_excluded, now, random);
+    const auto choice = router.choose(m_excluded, now, random, m_rules.work);
     if (!choice) {
         return std::nullopt;
     }
-    ++m_tries;
+    ++m_offers;
     m_excluded.insert(choice->target);
     router.started(choice->target, now);
     PlannedTry out;
     out.choice = *choice;
     // Waiting pays only where there is nowhere else to go, or where all targets are thought to be full.
     const bool full = choice->estimatedInFlight >= choice->limit;
-    out.mayQueue = m_tries >= MaxTries || choice->candidates == 1 || full;
+    out.mayQueue = m_rules.alwaysQueues || m_offers >= MaxTries || choice->candidates == 1 || full;
     if (m_retryGranted) {
         out.reason = TryReason::Retry;
-        m_belowRetry = true;
+        m_rules.belowRetry = true;
         m_retryGranted = false;
-    } else if (m_tries > 1) {
+    } else if (m_offers > 1) {
         out.reason = TryReason::RefusedElsewhere;
     }
     return out;
@@ -85,16 +84,17 @@
 
 std::uint32_t CallPlan::tries() const
 {
-    return m_tries;
+    return m_offers;
 }
 
 bool CallPlan::belowRetry() const
 {
-    return m_belowRetry;
+    return m_rules.belowRetry;
 }
 
 RetryDecision CallPlan::decide(const TryEnd &end, RetryBudget &budget)
 {
+    m_targets += end.reachedTarget || end.execution != Execution::NotRun ? 1 : 0;
     if (end.execution != Execution::NotRun) {
         m_earlier = Execution::Unknown;
     }
@@ -102,9 +102,12 @@
     failure.execution = end.execution;
     failure.bodyReplayable = !end.bodyTouched;
     failure.answerStarted = end.answerStarted;
-    failure.tries = m_tries;
-    failure.belowRetry = m_belowRetry;
-    failure.method = m_method;
+    failure.reachedTarget = end.reachedTarget;
+    failure.offers = m_offers;
+    failure.targets = m_targets;
+    failure.maxTargets = m_rules.maxTargets;
+    failure.belowRetry = m_rules.belowRetry;
+    failure.repeatable = m_rules.repeatable;
     failure.timeLeft = end.timeLeft;
     return decideRetry(failure, budget);
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -8,21 +8,49 @@
 namespace
 {
 
+/// Share of one try in the share of failures; about the last four tries count.
 constexpr double FailureWeight = 0.25;
+/// Share of one answer in the latency; about the last five answers count.
 constexpr double LatencyWeight = 0.2;
+/// Least weight of a target, so that one is always drawn.
 constexpr double LeastWeight = 1e-6;
 /// Share of a fair weight that a failing or slow target keeps, so that its recovery is noticed.
 constexpr double LeastHealth = 0.005;
+/// How steeply the weight falls with the share of failures.
 constexpr double FailurePower = 6.0;
+/// Share of its limit that a full target counts as free.
 constexpr double FullShare = 0.02;
+/// How steeply the weight of a full target falls with its queue.
 constexpr double QueuePower = 4.0;
+/// A latency up to this many times the median is not held against a target.
 constexpr double SlowTolerance = 1.5;
+/// How steeply the weight falls with a latency beyond that.
 constexpr double SlowPower = 3.0;
+/// Least time for which a report is trusted, in seconds.
 constexpr double LeastReportMemorySeconds = 0.005;
+/// Time in which a share of failures is half forgotten, in seconds.
 constexpr double FailureHalfLifeSeconds = 1.0;
+/// Time for which a reported pace is trusted; noisy neighbours come and go about this often.
+constexpr double PaceMemorySeconds = 0.1;
+/// Longest slow phase that is expected, in seconds: work that outlasts it goes on at the usual pace.
+constexpr double SlowPhaseSeconds = 0.15;
+/// Extra time at a target in another data centre, in seconds: two ways across and the cost of the bytes.
+constexpr double RemoteSeconds = 0.003;
+/// Growth of the work time from an idle to a full target; spreads work before slots run out.
+constexpr double LoadSlope = 0.3;
+/// Time that a certain failure costs, in seconds: the try and another one elsewhere.
+constexpr double FailureSeconds = 0.5;
+/// Share of the finish time by which equal targets differ at random, so that nodes do not all choose the same one.
+constexpr double Jitter = 0.1;
+/// A target whose guard has been silent for this long is avoided.
+constexpr Duration SilenceBound = std::chrono::milliseconds(1000);
+/// Extra time at such a target, in seconds.
+constexpr double SilenceSeconds = 1.0;
 /// Reports older than this say nothing about failures or latency.
 constexpr Duration ReportBound = std::chrono::seconds(5);
 
+constexpr double PercentScale = 100.0;
+
 double median(std::vector<double> values)
 {
     if (values.empty()) {
@@ -85,12 +113,18 @@
     std::vector<double> failures;
     double inFlight = 0;
     double limit = 0;
+    double pace = 0;
+    double paced = 0;
     for (const auto &it : m_entries) {
         const Entry &entry = it.second;
         if (!mayTakeWork(entry)) {
             continue;
         }
         failures.push_back(failureShareOf(entry, now));
+        if (entry.report && entry.report->pacePercent > 0) {
+            pace += entry.report->pacePercent / PercentScale;
+            paced += 1;
+        }
         if (entry.latency > 0) {
             latencies.push_back(entry.latency);
         }
@@ -102,6 +136,7 @@
     out.utilisation = limit > 0 ? std::min(1.0, inFlight / limit) : 0;
     out.failureShare = median(failures);
     out.latency = median(latencies);
+    out.pace = paced > 0 ? pace / paced : 1;
     return out;
 }
 
@@ -150,8 +185,36 @@
     return std::max(weight, LeastWeight);
 }
 
+double ServiceRouter::paceOf(const Entry &entry, const Averages &averages, TimePoint now) const
+{
+    if (!entry.report || entry.report->pacePercent == 0) {
+        return averages.pace;
+    }
+    const double trust = std::exp(-toSeconds(now - entry.reportedAt) / PaceMemorySeconds);
+    return trust * entry.report->pacePercent / PercentScale + (1 - trust) * averages.pace;
+}
+
+/// Returns the expected time from now until the target has finished the work, in seconds.
+double ServiceRouter::finishTime(const Entry &entry, double estimate, const Averages &averages, Duration work,
+                                 TimePoint now) const
+{
+    const double limit = std::max<double>(1, limitOf(entry));
+    const double usual = work > Duration::zero() ? toSeconds(work) : averages.latency;
+    const double pace = paceOf(entry, averages, now);
+    const double paced = std::min(usual * pace, usual + SlowPhaseSeconds * std::max(0.0, 1 - 1 / pace));
+    const double latency = entry.latency > 0 ? entry.latency : averages.latency;
+    const double ahead = std::max(0.0, estimate + 1 - limit);
+    const double failures = std::max(0.0, failureShareOf(entry, now) - averages.failureShare);
+    const bool silent = entry.report && now - entry.reportedAt > SilenceBound;
+    double out = paced * (1 + LoadSlope * std::min(1.0, estimate / limit)) + ahead * latency / limit;
+    out += failures * FailureSeconds;
+    out += entry.target.dataCentre != m_options.dataCentre ? RemoteSeconds : 0;
+    out += silent || limitOf(entry) == 0 ? SilenceSeconds : 0;
+    return out;
+}
+
 std::optional<RouterChoice> ServiceRouter::choose(const std::set<std::string> &excluded, TimePoint now,
-                                                  Random &random) const
+                                                  Random &random, Duration work) const
 {
     const Averages all = averages(now);
     std::vector<Candidate> candidates;
@@ -160,7 +223,10 @@
             continue;
         }
         const double estimate = estimateInFlight(it.second, all, now);
-        candidates.push_back({&it.second, weightOf(it.second, estimate, all, now), estimate});
+        const bool earliest = m_options.strategy == RoutingStrategy::EarliestFinish;
+        const double weight = earliest ? -finishTime(it.second, estimate, all, work, now) * (1 + Jitter * randomFraction(random))
+                                       : weightOf(it.second, estimate, all, now);
+        candidates.push_back({&it.second, weight, estimate});
     }
     if (candidates.empty()) {
         return std::nullopt;
@@ -173,6 +239,10 @@
     if (m_options.strategy == RoutingStrategy::UniformRandom) {
         return candidates[randomBelow(random, candidates.size())];
     }
+    if (m_options.strategy == RoutingStrategy::EarliestFinish) {
+        const auto less = [](const Candidate &a, const Candidate &b) { return a.weight < b.weight; };
+        return *std::max_element(candidates.begin(), candidates.end(), less);
+    }
     if (m_options.strategy == RoutingStrategy::PowerOfTwo) {
         const Candidate &a = candidates[randomBelow(random, candidates.size())];
         const Candidate &b = candidates[randomBelow(random, candidates.size())];
--- /dev/null
+++ b/src/storage/fileio.cpp
@@ -0,0 +1,70 @@
+#include "storage/fileio.h"
+
+#include <fmt/format.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <unistd.h>
+
+namespace shallotrelay::internal
+{
+
+std::string errorText()
+{
+    return std::strerror(errno); // NOLINT(concurrency-mt-unsafe)
+}
+
+bool writeAll(int fd, std::string_view data)
+{
+    while (!data.empty()) {
+        const ssize_t n = ::write(fd, data.data(), data.size());
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n <= 0) {
+            return false;
+        }
+        data.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return true;
+}
+
+absl::StatusOr<std::string> readAll(int fd)
+{
+    std::string out;
+    std::string buf(64 * 1024, '\0');
+    for (;;) {
+        const ssize_t n = ::read(fd, buf.data(), buf.size());
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0) {
+            return absl::DataLossError("cannot read: " + errorText());
+        }
+        if (n == 0) {
+            return out;
+        }
+        out.append(buf.data(), static_cast<std::size_t>(n));
+    }
+}
+
+bool syncFolder(const std::string &path)
+{
+    const std::string folder = std::filesystem::path(path).parent_path().string();
+    const int fd = ::open(folder.empty() ? "." : folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) {
+        return false;
+    }
+    const bool synced = ::fsync(fd) == 0;
+    ::close(fd);
+    return synced;
+}
+
+absl::Status fileError(std::string_view what, const std::string &path)
+{
+    return absl::UnavailableError(fmt::format("{} {}: {}", what, path, errorText()));
+}
+
+}
--- a/src/storage/recordlog.cpp
+++ b/src/storage/recordlog.cpp
@@ -1,5 +1,7 @@
 #include "shallotrelay/storage/recordlog.h"
 
+#include "storage/fileio.h"
+
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -17,6 +19,11 @@
 namespace
 {
 
+using internal::errorText;
+using internal::readAll;
+using internal::syncFolder;
+using internal::writeAll;
+
 constexpr std::string_view FileMagic = "shallotrelay log 1\n";
 
 /// Precedes each record.
@@ -40,58 +47,6 @@
     return header;
 }
 
-std::string errorText()
-{
-    return std::strerror(errno); // NOLINT(concurrency-mt-unsafe)
-}
-
-bool writeAll(int fd, std::string_view data)
-{
-    while (!data.empty()) {
-        const ssize_t n = ::write(fd, data.data(), data.size());
-        if (n < 0 && errno == EINTR) {
-            continue;
-        }
-        if (n <= 0) {
-            return false;
-        }
-        data.remove_prefix(static_cast<std::size_t>(n));
-    }
-    return true;
-}
-
-absl::StatusOr<std::string> readAll(int fd)
-{
-    std::string out;
-    std::string buf(64 * 1024, '\0');
-    for (;;) {
-        const ssize_t n = ::read(fd, buf.data(), buf.size());
-        if (n < 0 && errno == EINTR) {
-            continue;
-        }
-        if (n < 0) {
-            return absl::DataLossError("cannot read: " + errorText());
-        }
-        if (n == 0) {
-            return out;
-        }
-        out.append(buf.data(), static_cast<std::size_t>(n));
-    }
-}
-
-/// Makes the name of a new file survive a crash.
-bool syncFolder(const std::string &path)
-{
-    const std::string folder = std::filesystem::path(path).parent_path().string();
-    const int fd = ::open(folder.empty() ? "." : folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (fd < 0) {
-        return false;
-    }
-    const bool synced = ::fsync(fd) == 0;
-    ::close(fd);
-    return synced;
-}
-
 }
 
 absl::StatusOr<std::unique_ptr<RecordLog>> RecordLog::open(const std::string &path, std::vector<std::string> *records)
--- /dev/null
+++ b/src/storage/replicalog.cpp
@@ -0,0 +1,200 @@
+#include "shallotrelay/storage/replicalog.h"
+
+#include "storage/fileio.h"
+#include "wire/frame.h"
+
+#include <xxhash.h>
+
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <unistd.h>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr mode_t OwnerOnly = 0600;
+/// Precedes each frame: a checksum over the whole frame.
+constexpr std::size_t CheckBytes = sizeof(std::uint64_t);
+/// Largest payload of a stored frame, in bytes; a snapshot is the largest.
+constexpr std::size_t MaxStoredPayloadBytes = 64 * 1024 * 1024;
+
+template<class Message>
+void appendRecord(std::string *out, const Message &message)
+{
+    const std::string frame = encodeFrame(message);
+    const std::uint64_t check = XXH3_64bits(frame.data(), frame.size());
+    out->append(reinterpret_cast<const char *>(&check), sizeof check);
+    out->append(frame);
+}
+
+std::string encodeBatch(const ReplicaBatch &batch)
+{
+    std::string out;
+    if (batch.snapshot) {
+        appendRecord(&out, *batch.snapshot);
+    }
+    if (batch.hardState) {
+        appendRecord(&out, *batch.hardState);
+    }
+    for (const ConsensusEntry &it : batch.entries) {
+        appendRecord(&out, it);
+    }
+    return out;
+}
+
+/// Takes in one record; false if it does not fit what came before.
+bool applyRecord(std::uint8_t type, std::string_view payload, ReplicaRecovery *recovery)
+{
+    if (type == ReplicaIdentity::FrameType) {
+        const auto identity = decodeMessage<ReplicaIdentity>(payload);
+        recovery->id = identity.ok() ? identity->id : "";
+        return identity.ok();
+    }
+    if (type == HardState::FrameType) {
+        const auto state = decodeMessage<HardState>(payload);
+        if (state.ok()) {
+            recovery->disk.hardState = *state;
+        }
+        return state.ok();
+    }
+    if (type == ReplicaSnapshot::FrameType) {
+        auto snapshot = decodeMessage<ReplicaSnapshot>(payload);
+        if (snapshot.ok()) {
+            recovery->disk.snapshot = *std::move(snapshot);
+            recovery->disk.entries.clear();
+        }
+        return snapshot.ok();
+    }
+    auto entry = type == ConsensusEntry::FrameType ? decodeMessage<ConsensusEntry>(payload)
+                                                   : absl::StatusOr<ConsensusEntry>(absl::UnknownError("type"));
+    auto &entries = recovery->disk.entries;
+    const std::uint64_t first = recovery->disk.snapshot.index + 1;
+    if (!entry.ok() || entry->index < first || entry->index > first + entries.size()) {
+        return false;
+    }
+    entries.resize(entry->index - first);
+    entries.push_back(*std::move(entry));
+    return true;
+}
+
+}
+
+absl::StatusOr<std::unique_ptr<ReplicaLog>> ReplicaLog::open(const std::string &folder, ReplicaRecovery *recovery)
+{
+    std::error_code ec;
+    std::filesystem::create_directories(folder, ec);
+    std::unique_ptr<ReplicaLog> log(new ReplicaLog(folder));
+    if (const absl::Status status = log->recover(recovery); !status.ok()) {
+        return status;
+    }
+    return log;
+}
+
+ReplicaLog::ReplicaLog(std::string folder)
+    : m_folder(std::move(folder))
+    , m_path(m_folder + "/replica.log")
+{
+}
+
+ReplicaLog::~ReplicaLog()
+{
+    if (m_fd >= 0) {
+        ::close(m_fd);
+    }
+}
+
+absl::Status ReplicaLog::recover(ReplicaRecovery *recovery)
+{
+    m_fd = ::open(m_path.c_str(), O_RDWR | O_CLOEXEC);
+    if (m_fd < 0) {
+        return errno == ENOENT ? absl::OkStatus() : internal::fileError("cannot open", m_path);
+    }
+    const auto content = internal::readAll(m_fd);
+    if (!content.ok()) {
+        return content.status();
+    }
+    const std::string_view all = *content;
+    std::size_t at = 0;
+    while (all.size() - at >= CheckBytes + FrameHeaderBytes) {
+        std::uint64_t check = 0;
+        std::memcpy(&check, all.data() + at, sizeof check);
+        const auto header = parseFrameHeader(all.substr(at + CheckBytes, FrameHeaderBytes), MaxStoredPayloadBytes);
+        if (!header.ok()) {
+            break;
+        }
+        const std::size_t bytes = FrameHeaderBytes + header->payloadBytes;
+        const std::string_view frame = all.substr(at + CheckBytes, bytes);
+        if (frame.size() < bytes || XXH3_64bits(frame.data(), frame.size()) != check
+            || !applyRecord(header->type, frame.substr(FrameHeaderBytes), recovery)) {
+            break;
+        }
+        at += CheckBytes + bytes;
+    }
+    m_id = recovery->id;
+    m_size = at;
+    if (at < all.size() && (::ftruncate(m_fd, static_cast<off_t>(at)) != 0 || ::fsync(m_fd) != 0)) {
+        return internal::fileError("cannot cut off the unfinished record of", m_path);
+    }
+    if (::lseek(m_fd, static_cast<off_t>(at), SEEK_SET) < 0) {
+        return internal::fileError("cannot seek in", m_path);
+    }
+    return absl::OkStatus();
+}
+
+absl::Status ReplicaLog::begin(const std::string &id, const ReplicaSnapshot &first)
+{
+    m_id = id;
+    ReplicaBatch batch;
+    batch.snapshot = first;
+    return store(batch);
+}
+
+absl::Status ReplicaLog::store(const ReplicaBatch &batch)
+{
+    if (!batch.snapshot) {
+        return append(encodeBatch(batch));
+    }
+    std::string bytes;
+    appendRecord(&bytes, ReplicaIdentity{m_id});
+    return replaceFile(bytes + encodeBatch(batch));
+}
+
+absl::Status ReplicaLog::append(const std::string &bytes)
+{
+    if (!internal::writeAll(m_fd, bytes) || ::fdatasync(m_fd) != 0) {
+        const absl::Status status = internal::fileError("cannot store in", m_path);
+        // The next try writes at the same place; what was written of this one is cut off, or overwritten then.
+        if (::ftruncate(m_fd, static_cast<off_t>(m_size)) != 0 || ::lseek(m_fd, static_cast<off_t>(m_size), SEEK_SET) < 0) {
+            return absl::UnavailableError(std::string(status.message()) + "; it could not be undone");
+        }
+        return status;
+    }
+    m_size += bytes.size();
+    return absl::OkStatus();
+}
+
+absl::Status ReplicaLog::replaceFile(const std::string &bytes)
+{
+    const std::string fresh = m_path + ".new";
+    const int fd = ::open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, OwnerOnly);
+    if (fd < 0) {
+        return internal::fileError("cannot create", fresh);
+    }
+    if (!internal::writeAll(fd, bytes) || ::fsync(fd) != 0 || ::rename(fresh.c_str(), m_path.c_str()) != 0
+        || !internal::syncFolder(m_path)) {
+        const absl::Status status = internal::fileError("cannot replace", m_path);
+        ::close(fd);
+        return status;
+    }
+    if (m_fd >= 0) {
+        ::close(m_fd);
+    }
+    m_fd = fd;
+    m_size = bytes.size();
+    return absl::OkStatus();
+}
+
+}
--- a/tests/scenarios/world.cpp
+++ b/tests/scenarios/world.cpp
@@ -266,7 +266,7 @@
         call->work = std::lognormal_distribution<double>(mu, WorkSigma)(arrivals);
         call->sent = now;
         call->deadline = now + options.callerLatency + options.deadline;
-        call->plan = std::make_unique<CallPlan>(call->save ? "POST" : "GET", false);
+        call->plan = std::make_unique<CallPlan>(CallRules{.repeatable = !call->save});
         Call *it = call.get();
         calls.push_back(std::move(call));
         noteSecond(measures.callsBySecond, it->sent);
--- a/tests/unit/routertest.cpp
+++ b/tests/unit/routertest.cpp
@@ -156,12 +156,12 @@
     CHECK(counts.at("near") < counts.at("far"));
 }
 
-TEST_CASE("Only what did not run, or what is safe, is tried again")
+TEST_CASE("Only what did not run, or what is repeatable, is tried again")
 {
     RetryBudget budget(10);
     TryFailure failure;
     failure.timeLeft = 1s;
-    failure.method = "POST";
+    failure.repeatable = false;
     failure.execution = Execution::Unknown;
     CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
     failure.execution = Execution::Ran;
@@ -172,7 +172,7 @@
     CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
     failure.bodyReplayable = true;
     failure.execution = Execution::Unknown;
-    failure.method = "GET";
+    failure.repeatable = true;
     CHECK(decideRetry(failure, budget) == RetryDecision::Retry);
     failure.answerStarted = true;
     CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
@@ -211,7 +211,7 @@
     ServiceRouter router = routerOver(3);
     RetryBudget budget(10);
     Random random(1);
-    CallPlan plan("GET", false);
+    CallPlan plan({.repeatable = true});
     REQUIRE(plan.next(router, budget, random, at(0s)));
     CHECK(plan.overall(Execution::NotRun) == Execution::NotRun);
     TryEnd lost;
@@ -228,7 +228,7 @@
     ServiceRouter router = routerOver(2);
     RetryBudget budget(10);
     Random random(1);
-    CallPlan plan("GET", false);
+    CallPlan plan({.repeatable = true});
     const std::string failed = plan.next(router, budget, random, at(0s))->choice.target;
     const std::string other = failed == "t1" ? "t2" : "t1";
     router.setTargets({{other, "brasov-a", 12, TargetState::Ready, true, "boot"}}, at(2s));
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -23,6 +23,7 @@
 CXX_TYPES = {
     "Address": "Address", "AddressList": "std::vector<Address>", "Name": "std::string", "Text": "std::string",
     "Path": "std::string", "Count": "std::uint32_t", "Duration": "std::chrono::nanoseconds", "LogLevel": "std::string",
+    "Fraction": "double",
 }
 
 
@@ -46,6 +47,7 @@
     messages = json.loads((ROOT / "schema/messages.json").read_text())
     settings = json.loads((ROOT / "schema/settings.json").read_text())
     for command in settings["commands"]:
+        command["identifier"] = camel(command["name"])
         command["type"] = camel(command["name"], upper=True) + "Settings"
         command["settings"] = [load_setting(row) for row in command["settings"]]
     return {"enums": messages["enums"], "messages": messages["messages"], "commands": settings["commands"]}
