--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -61,6 +61,7 @@
     std::uint32_t priority = 0; ///< Rank; 0 is the most urgent.
     TimePoint objective = TimePoint::max(); ///< An answer is wanted by then.
     std::string route{}; ///< Requests of one route take about the same time.
+    bool repeats = false; ///< Whether it was sent to another target before.
 };
 
 /// Why a request was not admitted.
@@ -158,6 +159,9 @@
     /// Returns how many requests are in flight.
     std::uint32_t inFlight() const;
 
+    /// Returns which share of the requests in flight was sent to another target before.
+    double repeatShare() const;
+
     /// Returns how many requests wait.
     std::uint32_t queued() const;
 
@@ -166,13 +170,18 @@
         TimePoint start;
         bool headSeen = false;
         std::string route;
+        bool repeats = false;
+    };
+    struct WaitingDetail {
+        std::string route;
+        bool repeats = false;
     };
 
     GuardRefusal standingRefusal() const;
     std::uint32_t fullLimit() const;
     std::uint32_t rampLimit(TimePoint now) const;
     Duration retryAfter() const;
-    void start(GuardTicket ticket, const std::string &route, TimePoint now);
+    void start(GuardTicket ticket, const WaitingDetail &detail, TimePoint now);
     bool mayStart(TimePoint now);
     Duration expectedWork(const std::string &route) const;
     ServiceRate rate(TimePoint now) const;
@@ -191,7 +200,7 @@
     std::uint32_t m_rampFrom = 0;
     std::map<GuardTicket, Running> m_running;
     WaitingLine m_waiting;
-    std::map<GuardTicket, std::string> m_waitingRoutes;
+    std::map<GuardTicket, WaitingDetail> m_waitingDetails;
     std::map<std::string, double> m_workByRoute; // seconds, average by route
     ColdRate m_coldRate;
     TimePoint m_coldUntil;
--- a/include/shallotrelay/retry/retry.h
+++ b/include/shallotrelay/retry/retry.h
@@ -44,6 +44,13 @@
     /// Notes a first try.
     void firstTry();
 
+    /// Takes repeats out of the budget that happen anyway, such as the calls of a request that runs once more; what is
+    /// missing is made up by later first tries.
+    void charge(double retries);
+
+    /// Takes a second try of a request that has not failed yet; leaves a part of the budget to those that have.
+    bool takeHedge();
+
     /// Takes a retry out of the budget; returns whether there was one.
     bool takeRetry();
 
--- a/include/shallotrelay/routing/callplan.h
+++ b/include/shallotrelay/routing/callplan.h
@@ -27,6 +27,7 @@
     First, ///< The first try of the call.
     RefusedElsewhere, ///< Another target refused it; it did not run.
     Retry, ///< It may have run, and is run once more out of the budget.
+    Hedge, ///< It has no answer yet and is run at a second target as well, out of the budget.
 };
 
 /// Returns the name of a reason for logs.
@@ -57,6 +58,7 @@
     std::uint32_t maxTargets = MaxTries; ///< Targets that it may be sent to.
     Duration work{}; ///< Expected time at a target, zero if unknown.
     bool alwaysQueues = false; ///< Whether each guard may let it wait if it can still be in time.
+    bool hedges = false; ///< Whether it may be sent to a second target before the first one has failed.
 };
 
 /// Plans the tries of one call.
@@ -68,6 +70,12 @@
     /// Chooses the next target and tells the router that the try starts; none if there is no target left.
     std::optional<PlannedTry> next(ServiceRouter &router, RetryBudget &budget, Random &random, TimePoint now);
 
+    /// Chooses a second target for a request that has no answer yet; none if that is not worth its work.
+    std::optional<PlannedTry> hedge(ServiceRouter &router, RetryBudget &budget, Random &random, TimePoint now);
+
+    /// Notes that a try ended while another one goes on.
+    void ended(const TryEnd &end);
+
     /// Returns whether an answer with a server error is to be dropped for a new try; takes it out of the budget.
     bool dropsAnswer(const TryEnd &end, const ServiceRouter &router, RetryBudget &budget);
 
--- a/src/cli/commandsupport.cpp
+++ b/src/cli/commandsupport.cpp
@@ -22,6 +22,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     return set;
 }
 
@@ -38,11 +39,13 @@
     return std::getenv(name.c_str()); // NOLINT(concurrency-mt-unsafe)
 }
 
-void waitForStopSignal()
+void waitForStopSignal(const std::function<void()> &onReload)
 {
     const sigset_t set = stopSignals();
     int signal = 0;
-    sigwait(&set, &signal);
+    while (sigwait(&set, &signal) != 0 || signal == SIGHUP) {
+        onReload();
+    }
 }
 
 void blockStopSignals()
--- a/src/cli/commandsupport.h
+++ b/src/cli/commandsupport.h
@@ -52,10 +52,11 @@
     return body(*settings, line->operands);
 }
 
-/// Waits for SIGTERM or SIGINT. Call blockStopSignals() before any thread starts.
-void waitForStopSignal();
+/// Waits for SIGTERM or SIGINT and calls the hook for each SIGHUP meanwhile. Call blockStopSignals() before any thread
+/// starts.
+void waitForStopSignal(const std::function<void()> &onReload = [] {});
 
-/// Keeps SIGTERM and SIGINT for waitForStopSignal(), in this thread and those it starts.
+/// Keeps SIGTERM, SIGINT and SIGHUP for waitForStopSignal(), in this thread and those it starts.
 void blockStopSignals();
 
 /// Reads a whole file.
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -57,8 +57,9 @@
 constexpr std::size_t HoldAnswerBytes = 128 * 1024;
 /// Request bodies up to this size are held, so that they can be sent to another target.
 constexpr std::size_t HoldBodyBytes = 64 * 1024;
-/// Part of the shared retries that nodes take; the rest covers repeats that calls of repeated requests make.
-constexpr double RetryShare = 0.6;
+/// Part of the shared retries that nodes take; the rest covers what a node cannot count, such as a request that is sent
+/// once more because an idle connection had been closed.
+constexpr double RetryShare = 0.8;
 /// Nodes that are assumed to share the retries as long as fewer are known.
 constexpr std::size_t LeastNodes = 4;
 constexpr double PercentScale = 100;
@@ -111,7 +112,7 @@
         , local({&clock, std::chrono::hours(1), peerOptions().stallTimeout, options.dataCentre,
                  options.peerListen.text(), incarnation, targetOptions()},
                 services, log, metrics, noKeys())
-        , dispatcher({&clock, peerOptions(), options.name, HoldBodyBytes, true}, services, local, log, metrics)
+        , dispatcher(dispatcherOptions(), services, local, log, metrics)
         , door(runtime, clock, doorOptions(),
                [this](CallerRequest &request, BodySource &source, CallerSink &sink, ExchangeProgress &progress) {
                    return dispatcher.dispatch(request, source, sink, progress);
@@ -164,6 +165,19 @@
     bool guardLeft = false;
     std::atomic<bool> stopping = false;
 
+    Dispatcher::Options dispatcherOptions() const
+    {
+        Dispatcher::Options out;
+        out.clock = &clock;
+        out.peers = peerOptions();
+        out.node = options.name;
+        out.holdBodyBytes = HoldBodyBytes;
+        out.alwaysQueues = true;
+        out.hedges = true;
+        out.holdAnswerBytes = HoldAnswerBytes;
+        return out;
+    }
+
     std::shared_ptr<NodeKeys> noKeys()
     {
         constexpr std::size_t NoAnswers = 0;
@@ -230,9 +244,23 @@
             request->objective = now + route->objective;
         }
         request->maxTargets = route->maxTargets;
+        chargeCalls(head);
         return absl::OkStatus();
     }
 
+    /// Requests that begin here may be calls of the target beside this node. The share that belongs to repeated runs counts
+    /// as repeats at the service that is called.
+    void chargeCalls(const RequestHead &head)
+    {
+        const auto guarded = guardedTarget();
+        const double share = guarded ? guarded->repeatShare() : 0;
+        const auto shard = share > 0 ? services.find({head.firm, head.service}) : nullptr;
+        if (shard && head.service != head.callerService) {
+            const std::lock_guard lock(shard->mutex);
+            shard->budget.charge(share);
+        }
+    }
+
     std::uint64_t appliedRevision() const
     {
         const auto bundle = services.bundleOf(ClusterFirm);
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -1,15 +1,18 @@
 #include "daemon/dispatcher.h"
 
+#include "daemon/tryrace.h"
 #include "shallotrelay/routing/callplan.h"
 
+#include <boost/asio/this_coro.hpp>
+
 namespace shallotrelay
 {
 namespace
 {
 
 constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
-/// Answers that the expected work of a route is averaged over.
-constexpr int WorkSamples = 20;
+constexpr std::uint16_t BadGateway = 502;
+constexpr std::uint16_t ServiceUnavailable = 503;
 
 /// Notices whether the body was used up. A body within the bound is held, so that it can be sent again.
 class TrackedSource : public BodySource
@@ -67,8 +70,8 @@
 class TryNote
 {
 public:
-    TryNote(ServiceShard &shard, std::string target, const Clock &clock)
-        : m_shard(shard)
+    TryNote(std::shared_ptr<ServiceShard> shard, std::string target, const Clock &clock)
+        : m_shard(std::move(shard))
         , m_target(std::move(target))
         , m_clock(clock)
     {
@@ -79,8 +82,8 @@
 
     ~TryNote()
     {
-        const std::lock_guard lock(m_shard.mutex);
-        m_shard.router.finished(m_target, m_outcome, m_clock.now());
+        const std::lock_guard lock(m_shard->mutex);
+        m_shard->router.finished(m_target, m_outcome, m_clock.now());
     }
 
     /// Passes on what the try showed.
@@ -91,13 +94,13 @@
         m_outcome.failed = result.unreachable || (m_outcome.ran && result.status >= FirstServerError);
         m_outcome.headLatency = result.headLatency;
         if (result.reported) {
-            const std::lock_guard lock(m_shard.mutex);
-            m_shard.router.reported(m_target, result.load, m_clock.now());
+            const std::lock_guard lock(m_shard->mutex);
+            m_shard->router.reported(m_target, result.load, m_clock.now());
         }
     }
 
 private:
-    ServiceShard &m_shard;
+    std::shared_ptr<ServiceShard> m_shard;
     std::string m_target;
     const Clock &m_clock;
     RouterOutcome m_outcome;
@@ -137,7 +140,14 @@
             const auto planned = plan();
             if (!planned) {
                 logDecision("none", result.reason, {});
-                result.execution = m_plan.overall(result.execution);
+                co_return overall(std::move(result));
+            }
+            if (races()) {
+                result = co_await runRace(*planned);
+                if (!result.whole) {
+                    logDecision("give-up", result.reason, {});
+                    m_dispatcher.m_givenUp.Increment();
+                }
                 co_return result;
             }
             result = co_await runTry(*planned);
@@ -150,13 +160,148 @@
             if (!goesOn(result)) {
                 logDecision("give-up", result.reason, {});
                 m_dispatcher.m_givenUp.Increment();
-                result.execution = m_plan.overall(result.execution);
-                co_return result;
+                co_return overall(std::move(result));
             }
         }
     }
 
 private:
+    /// Tells what is known of all tries; what may have run in one of them is not refused.
+    ExchangeResult overall(ExchangeResult result) const
+    {
+        result.execution = m_plan.overall(result.execution);
+        if (result.status == ServiceUnavailable && result.execution != Execution::NotRun) {
+            result.status = BadGateway;
+        }
+        return result;
+    }
+
+    /// Returns whether its tries may run side by side.
+    bool races() const
+    {
+        const RequestHead &head = m_request.head;
+        return m_dispatcher.m_options.hedges && head.repeatable && head.bodyKind == BodyKind::None && !isKeyed(head);
+    }
+
+    /// Runs the tries side by side where that is worthwhile.
+    asio::awaitable<ExchangeResult> runRace(PlannedTry planned)
+    {
+        const auto executor = co_await asio::this_coro::executor;
+        const auto race = std::make_shared<TryRace>(executor, m_sink, m_dispatcher.m_options.holdAnswerBytes,
+                                                    [this](const ResponseHead &head) { return dropsAnswer(head); });
+        const RaceEnd end{*race};
+        const TimePoint begun = now();
+        startAttempt(*race, planned);
+        TimePoint hedgeAt = begun + hedgeDelay(begun);
+        for (;;) {
+            const auto attempt = co_await race->next(*m_dispatcher.m_options.clock, hedgeAt);
+            if (!attempt) {
+                hedgeAt = TimePoint::max();
+                const auto second = m_sink.committed() ? std::nullopt : planHedge();
+                if (second) {
+                    startAttempt(*race, *second);
+                }
+                continue;
+            }
+            if (attempt->result.whole) {
+                co_return attempt->result;
+            }
+            if (race->running() > 0) {
+                m_plan.ended(endOf(attempt->result.execution, attempt->result.reachedTarget, attempt->result.status));
+                continue;
+            }
+            if (m_sink.committed() || !goesOn(attempt->result)) {
+                co_return overall(attempt->result);
+            }
+            m_progress.execution = m_plan.overall(Execution::NotRun);
+            const auto another = plan();
+            if (!another) {
+                co_return overall(attempt->result);
+            }
+            startAttempt(*race, *another);
+        }
+    }
+
+    /// Cancels what still runs when the call is over.
+    struct RaceEnd {
+        explicit RaceEnd(TryRace &r)
+            : race(r)
+        {
+        }
+
+        RaceEnd(const RaceEnd &) = delete;
+        RaceEnd &operator=(const RaceEnd &) = delete;
+
+        ~RaceEnd()
+        {
+            race.close();
+        }
+
+        TryRace &race;
+    };
+
+    void startAttempt(TryRace &race, const PlannedTry &planned)
+    {
+        logDecision("try", toString(planned.reason), planned.choice);
+        const auto attempt = std::make_shared<TryRace::Attempt>();
+        attempt->head = headFor(planned);
+        attempt->backend = m_dispatcher.backendOf(*m_shard, m_record);
+        attempt->begun = now();
+        // The try may outlive the call, so it holds on to the service alone.
+        const auto note = std::make_shared<TryNote>(m_shard, planned.choice.target, *m_dispatcher.m_options.clock);
+        const auto &clock = *m_dispatcher.m_options.clock;
+        attempt->onEnd = [note, shard = m_shard, weak = std::weak_ptr(attempt), &clock,
+                          first = planned.reason != TryReason::Hedge](const ExchangeResult *result) {
+            if (result != nullptr) {
+                note->ended(*result);
+            }
+            const auto self = weak.lock();
+            const bool answered = result != nullptr && result->whole;
+            if (self && first && (answered || result == nullptr)) {
+                const std::lock_guard lock(shard->mutex);
+                shard->timers[self->head.route].answered(clock.now() - self->begun);
+            }
+        };
+        m_progress = {Execution::Unknown, false};
+        race.start(attempt, m_request.deadline);
+    }
+
+    Duration hedgeDelay(TimePoint begun) const
+    {
+        const bool inTime = m_request.objective != TimePoint::max() && m_request.objective > begun;
+        const std::lock_guard lock(m_shard->mutex);
+        const auto it = m_shard->timers.find(m_request.head.route);
+        const HedgeTimer timer = it == m_shard->timers.end() ? HedgeTimer() : it->second;
+        return timer.delay(inTime ? m_request.objective - begun : Duration::zero());
+    }
+
+    std::optional<PlannedTry> planHedge()
+    {
+        const std::lock_guard lock(m_shard->mutex);
+        const auto planned = m_plan.hedge(m_shard->router, m_shard->budget, m_shard->random, now());
+        if (planned) {
+            m_record = m_shard->records.at(planned->choice.target);
+            m_dispatcher.m_hedges.Increment();
+        }
+        return planned;
+    }
+
+    /// Returns the request as it goes to a target.
+    RequestHead headFor(const PlannedTry &planned) const
+    {
+        RequestHead head = m_request.head;
+        head.target = planned.choice.target;
+        head.mayQueue = planned.mayQueue;
+        head.repeats = planned.reason == TryReason::Retry || planned.reason == TryReason::Hedge;
+        head.timeLeftMs = toWholeMilliseconds(m_request.deadline - now());
+        const bool inTime = m_request.objective != TimePoint::max() && m_request.objective > now();
+        head.objectiveLeftMs = inTime ? toWholeMilliseconds(m_request.objective - now()) : 0;
+        if (head.repeats) {
+            head.headers.push_back({std::string(RetryHeader), "1"});
+        }
+        return head;
+    }
+
     static CallRules rulesOf(const Dispatcher &dispatcher, ServiceShard &shard, const CallerRequest &request)
     {
         CallRules rules;
@@ -165,8 +310,9 @@
         rules.maxTargets = request.maxTargets;
         rules.alwaysQueues = dispatcher.m_options.alwaysQueues;
         const std::lock_guard lock(shard.mutex);
-        const auto work = shard.workByRoute.find(request.head.route);
-        rules.work = work == shard.workByRoute.end() ? Duration::zero() : work->second;
+        rules.hedges = dispatcher.m_options.hedges;
+        const auto timer = shard.timers.find(request.head.route);
+        rules.work = timer == shard.timers.end() ? Duration::zero() : timer->second.usual();
         return rules;
     }
 
@@ -182,17 +328,12 @@
 
     asio::awaitable<ExchangeResult> runTry(const PlannedTry &planned)
     {
-        TryNote note(*m_shard, planned.choice.target, *m_dispatcher.m_options.clock);
+        TryNote note(m_shard, planned.choice.target, *m_dispatcher.m_options.clock);
         logDecision("try", toString(planned.reason), planned.choice);
         if (planned.reason == TryReason::Retry) {
             m_dispatcher.m_retries.Increment();
-            m_request.head.headers.push_back({std::string(RetryHeader), "1"});
         }
-        m_request.head.target = planned.choice.target;
-        m_request.head.mayQueue = planned.mayQueue;
-        m_request.head.timeLeftMs = toWholeMilliseconds(m_request.deadline - now());
-        const bool inTime = m_request.objective != TimePoint::max() && m_request.objective > now();
-        m_request.head.objectiveLeftMs = inTime ? toWholeMilliseconds(m_request.objective - now()) : 0;
+        m_request.head = headFor(planned);
         m_source.rewind();
         m_progress = {m_plan.overall(Execution::NotRun), false};
         m_sink.setWantsRetry([this](const ResponseHead &head) { return dropsAnswer(head); });
@@ -209,8 +350,7 @@
     void learnWork(Duration latency)
     {
         const std::lock_guard lock(m_shard->mutex);
-        Duration &work = m_shard->workByRoute[m_request.head.route];
-        work = work == Duration::zero() ? latency : work + (latency - work) / WorkSamples;
+        m_shard->timers[m_request.head.route].answered(latency);
     }
 
     /// Sends a request with a key to the node that holds the claim to it, which knows what became of it.
@@ -295,6 +435,7 @@
     , m_log(log)
     , m_requests(metrics.counter("shallotrelay_requests_total", "Requests of callers"))
     , m_retries(metrics.counter("shallotrelay_retries_total", "Requests that were run once more"))
+    , m_hedges(metrics.counter("shallotrelay_hedges_total", "Requests that were sent to a second target while they ran"))
     , m_givenUp(metrics.counter("shallotrelay_given_up_total", "Requests without a whole answer of a target"))
     , m_headLatency(metrics.seconds("shallotrelay_head_seconds", "Time from a try to the head of its answer"))
 {
@@ -315,7 +456,6 @@
     }
     Call call(*this, shard, request, source, sink, progress);
     ExchangeResult result = co_await call.run();
-    constexpr std::uint16_t ServiceUnavailable = 503;
     if (isKeyed(request.head) && result.status == ServiceUnavailable && !result.claimHeld) {
         // Nobody who knows the key was asked: an earlier request with it may have run.
         result.execution = Execution::Unknown;
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -27,6 +27,8 @@
         std::string node; ///< Name of the node, for log lines.
         std::size_t holdBodyBytes = 0; ///< Request bodies up to this size are held, so that they can be sent again.
         bool alwaysQueues = false; ///< Whether each guard may let a request wait if it can still be in time.
+        bool hedges = false; ///< Whether a request that has no answer yet may be sent to a second target as well.
+        std::size_t holdAnswerBytes = 0; ///< Answers of such requests are held up to this size.
     };
 
     Dispatcher(Options options, ServiceTable &services, LocalTargets &local, EventLog &log, Metrics &metrics);
@@ -47,6 +49,7 @@
     EventLog &m_log;
     prometheus::Counter &m_requests;
     prometheus::Counter &m_retries;
+    prometheus::Counter &m_hedges;
     prometheus::Counter &m_givenUp;
     prometheus::Histogram &m_headLatency;
     std::mutex m_linksMutex;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -66,6 +66,15 @@
     return options;
 }
 
+Dispatcher::Options dispatcherOptions(const Clock &clock, const NodeSettings &settings)
+{
+    Dispatcher::Options options;
+    options.clock = &clock;
+    options.peers = peerOptions(settings);
+    options.node = settings.name;
+    return options;
+}
+
 /// Returns what the node knows of each service, for operators.
 nlohmann::ordered_json describe(const ServiceTable &services)
 {
@@ -99,7 +108,7 @@
                                           [this](ClaimRequest request) { return claim(std::move(request)); }))
         , local({&clock, settings.announceLease, settings.stallTimeout, settings.dataCentre, "", incarnation, {}}, services,
                 log, metrics, keys)
-        , dispatcher({&clock, peerOptions(settings), settings.name, 0, false}, services, local, log, metrics)
+        , dispatcher(dispatcherOptions(clock, settings), services, local, log, metrics)
         , door(runtime, clock, doorOptions(settings),
                [this](CallerRequest &request, BodySource &source, CallerSink &sink, ExchangeProgress &progress) {
                    return dispatcher.dispatch(request, source, sink, progress);
--- a/src/daemon/servicetable.h
+++ b/src/daemon/servicetable.h
@@ -6,6 +6,7 @@
 #include "shallotrelay/base/name.h"
 #include "shallotrelay/bundle/signature.h"
 #include "shallotrelay/membership/directory.h"
+#include "shallotrelay/retry/hedge.h"
 #include "shallotrelay/retry/retry.h"
 #include "shallotrelay/routing/router.h"
 
@@ -37,7 +38,7 @@
     RetryBudget budget; ///< Bounds retries.
     Random random; ///< What the router draws from.
     std::map<std::string, TargetRecord> records; ///< The announced targets by name.
-    std::map<std::string, Duration> workByRoute; ///< Average time until the head of an answer, by route.
+    std::map<std::string, HedgeTimer> timers; ///< How long requests take, by route.
 };
 
 /// A bundle that a node applies.
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -226,7 +226,7 @@
         return answer;
     }
     if (m_waiting.size() == 0 && mayStart(now)) {
-        start(offer.ticket, offer.route, now);
+        start(offer.ticket, {offer.route, offer.repeats}, now);
         answer.kind = GuardAnswer::Kind::Admitted;
         return answer;
     }
@@ -244,14 +244,14 @@
         answer.retryAfter = std::max(LeastRetryAfter, waiting.excess);
         return answer;
     }
-    m_waitingRoutes[offer.ticket] = offer.route;
+    m_waitingDetails[offer.ticket] = {offer.route, offer.repeats};
     answer.kind = GuardAnswer::Kind::Queued;
     return answer;
 }
 
-void Guard::start(GuardTicket ticket, const std::string &route, TimePoint now)
+void Guard::start(GuardTicket ticket, const WaitingDetail &detail, TimePoint now)
 {
-    m_running[ticket] = {now, false, route};
+    m_running[ticket] = {now, false, detail.route, detail.repeats};
     m_coldRate.started(now);
 }
 
@@ -283,7 +283,7 @@
 
 bool Guard::withdraw(GuardTicket ticket)
 {
-    m_waitingRoutes.erase(ticket);
+    m_waitingDetails.erase(ticket);
     return m_waiting.remove(ticket);
 }
 
@@ -377,12 +377,12 @@
     GuardRelease release;
     release.expired = m_waiting.dropHopeless(rate(now), now);
     for (const GuardTicket it : release.expired) {
-        m_waitingRoutes.erase(it);
+        m_waitingDetails.erase(it);
     }
     while (m_waiting.size() > 0 && mayStart(now)) {
         const GuardTicket ticket = m_waiting.takeNext(now)->ticket;
-        start(ticket, m_waitingRoutes[ticket], now);
-        m_waitingRoutes.erase(ticket);
+        start(ticket, m_waitingDetails[ticket], now);
+        m_waitingDetails.erase(ticket);
         release.admitted.push_back(ticket);
     }
     return release;
@@ -392,7 +392,7 @@
 {
     GuardRelease release;
     release.expired = m_waiting.clear();
-    m_waitingRoutes.clear();
+    m_waitingDetails.clear();
     return release;
 }
 
@@ -426,6 +426,13 @@
     return static_cast<std::uint32_t>(m_running.size());
 }
 
+double Guard::repeatShare() const
+{
+    const auto repeats = [](const auto &it) { return it.second.repeats; };
+    const auto n = static_cast<double>(std::count_if(m_running.begin(), m_running.end(), repeats));
+    return m_running.empty() ? 0 : n / static_cast<double>(m_running.size());
+}
+
 std::uint32_t Guard::queued() const
 {
     return static_cast<std::uint32_t>(m_waiting.size());
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -142,6 +142,7 @@
             offer.mayQueue = head.mayQueue;
             offer.priority = head.priority;
             offer.route = head.route;
+            offer.repeats = head.repeats;
             if (head.objectiveLeftMs > 0) {
                 offer.objective = now + std::chrono::milliseconds(head.objectiveLeftMs);
             }
@@ -607,6 +608,12 @@
     return m_impl->guard.load(m_impl->options.clock->now());
 }
 
+double GuardedTarget::repeatShare() const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    return m_impl->guard.repeatShare();
+}
+
 std::size_t GuardedTarget::openConnections() const
 {
     return m_impl->openCount->load();
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -81,6 +81,9 @@
     /// Returns the load as the guard sees it.
     LoadReport load() const;
 
+    /// Returns which share of the requests in flight was sent to another target before.
+    double repeatShare() const;
+
     /// Returns how many connections to the target are open.
     std::size_t openConnections() const;
 
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -9,6 +9,8 @@
 
 /// Retries that can be saved up unless the user says otherwise.
 constexpr double DefaultBurst = 20;
+/// Part of the burst that is left to requests that have failed.
+constexpr double HedgeReserve = 0.25;
 /// Retries that a service has from its first request on.
 constexpr double InitialRetries = 3;
 
@@ -45,6 +47,16 @@
     m_saved = std::min(m_burst, m_saved + m_percent / 100.0);
 }
 
+void RetryBudget::charge(double retries)
+{
+    m_saved = std::max(-m_burst, m_saved - retries);
+}
+
+bool RetryBudget::takeHedge()
+{
+    return m_saved >= 1 + HedgeReserve * m_burst && takeRetry();
+}
+
 bool RetryBudget::takeRetry()
 {
     if (m_saved < 1) {
--- a/src/routing/callplan.cpp
+++ b/src/routing/callplan.cpp
@@ -7,6 +7,8 @@
 
 constexpr std::uint16_t FirstServerError = 500;
 constexpr std::uint16_t NotImplemented = 501;
+/// A target that is busier than this gets no second tries; they would delay first ones.
+constexpr double HedgeUtilisation = 0.8;
 
 }
 
@@ -19,6 +21,8 @@
         return "refused-elsewhere";
     case TryReason::Retry:
         return "retry";
+    case TryReason::Hedge:
+        return "hedge";
     }
     return "invalid";
 }
@@ -55,6 +59,33 @@
     return out;
 }
 
+std::optional<PlannedTry> CallPlan::hedge(ServiceRouter &router, RetryBudget &budget, Random &random, TimePoint now)
+{
+    if (!m_rules.hedges || !m_rules.repeatable || m_rules.belowRetry || m_targets + 1 >= m_rules.maxTargets) {
+        return std::nullopt;
+    }
+    const auto choice = router.choose(m_excluded, now, random, m_rules.work);
+    const bool busy = !choice || choice->estimatedInFlight + 1 > HedgeUtilisation * choice->limit;
+    if (busy || !budget.takeHedge()) {
+        return std::nullopt;
+    }
+    ++m_offers;
+    ++m_targets;
+    m_excluded.insert(choice->target);
+    router.started(choice->target, now);
+    PlannedTry out;
+    out.choice = *choice;
+    out.reason = TryReason::Hedge;
+    return out;
+}
+
+void CallPlan::ended(const TryEnd &end)
+{
+    if (end.execution != Execution::NotRun) {
+        m_earlier = Execution::Unknown;
+    }
+}
+
 bool CallPlan::dropsAnswer(const TryEnd &end, const ServiceRouter &router, RetryBudget &budget)
 {
     if (end.status < FirstServerError || end.status == NotImplemented || !router.hasTargetBeside(m_excluded)) {
