--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -65,6 +65,8 @@
     double estimatedInFlight = 0; ///< Estimate of its requests in flight.
     std::uint32_t limit = 0; ///< Its last known limit.
     bool remote = false; ///< Whether it is in another data centre.
+    std::uint32_t pacePercent = 0; ///< How long work takes on its VM, as last reported; 0 if unknown.
+    Duration reportAge{}; ///< Age of its last report, zero if there is none.
 };
 
 /// How a try ended, as the router needs to know it.
@@ -136,7 +138,7 @@
                       TimePoint now) const;
     double paceOf(const Entry &entry, const Averages &averages, TimePoint now) const;
     const Candidate &draw(const std::vector<Candidate> &candidates, Random &random) const;
-    RouterChoice toChoice(const Candidate &candidate, std::size_t candidates) const;
+    RouterChoice toChoice(const Candidate &candidate, std::size_t candidates, TimePoint now) const;
 
     RouterOptions m_options;
     std::map<std::string, Entry> m_entries;
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -136,6 +136,7 @@
     asio::awaitable<ExchangeResult> run()
     {
         ExchangeResult result = ownResult(503, "no target", NoTargetRetryAfter);
+        const TimePoint begun = now();
         for (;;) {
             const auto planned = plan();
             if (!planned) {
@@ -155,6 +156,7 @@
                 result = co_await runAtOwner(result);
             }
             if (result.whole) {
+                logAnswer(result, m_request.head.target, begun);
                 co_return result;
             }
             if (!goesOn(result)) {
@@ -204,6 +206,7 @@
                 continue;
             }
             if (attempt->result.whole) {
+                logAnswer(attempt->result, attempt->head.target, begun);
                 co_return attempt->result;
             }
             if (race->running() > 0) {
@@ -396,6 +399,19 @@
         return end;
     }
 
+    void logAnswer(const ExchangeResult &result, const std::string &target, TimePoint begun)
+    {
+        if (!m_dispatcher.m_log.enabled(LogLevel::Info)) {
+            return;
+        }
+        LogFields line;
+        line.add("node", m_dispatcher.m_options.node).add("request", m_request.head.requestId);
+        line.add("route", m_request.head.route).add("target", target);
+        line.add("status", std::uint64_t(result.status)).add("tries", std::uint64_t(m_plan.tries()));
+        line.add("ms", toMilliseconds(now() - begun)).add("head_ms", toMilliseconds(result.headLatency));
+        m_dispatcher.m_log.write(LogLevel::Info, "answer", line);
+    }
+
     void logDecision(const char *decision, std::string_view reason, const RouterChoice &choice)
     {
         if (!m_dispatcher.m_log.enabled(LogLevel::Info)) {
@@ -409,6 +425,7 @@
             line.add("target", choice.target).add("data_centre", m_record.dataCentre);
             line.add("candidates", std::uint64_t(choice.candidates)).add("limit", std::uint64_t(choice.limit));
             line.add("estimated_in_flight", choice.estimatedInFlight);
+            line.add("pace", std::uint64_t(choice.pacePercent)).add("report_age_ms", toMilliseconds(choice.reportAge));
         }
         m_dispatcher.m_log.write(LogLevel::Info, "route", line);
     }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -231,7 +231,7 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    return toChoice(draw(candidates, random), candidates.size());
+    return toChoice(draw(candidates, random), candidates.size(), now);
 }
 
 const ServiceRouter::Candidate &ServiceRouter::draw(const std::vector<Candidate> &candidates, Random &random) const
@@ -262,7 +262,7 @@
     return candidates.back();
 }
 
-RouterChoice ServiceRouter::toChoice(const Candidate &candidate, std::size_t candidates) const
+RouterChoice ServiceRouter::toChoice(const Candidate &candidate, std::size_t candidates, TimePoint now) const
 {
     RouterChoice choice;
     choice.target = candidate.entry->target.name;
@@ -270,6 +270,10 @@
     choice.estimatedInFlight = candidate.estimate;
     choice.limit = limitOf(*candidate.entry);
     choice.remote = candidate.entry->target.dataCentre != m_options.dataCentre;
+    if (candidate.entry->report) {
+        choice.pacePercent = candidate.entry->report->pacePercent;
+        choice.reportAge = now - candidate.entry->reportedAt;
+    }
     return choice;
 }
 
