A request whose VM turns slow goes to a second target at once; nearly full targets are avoided

Cause: the VM of a running request turns five times slower for some 150 ms (17 in 100 reads), and targets above three quarters of their slots take 140 ms for a read instead of 80.

--- a/include/shallotrelay/retry/hedge.h
+++ b/include/shallotrelay/retry/hedge.h
@@ -20,6 +20,11 @@
     /// Returns the time after which a second try starts; the objective is zero if there is none.
     Duration delay(Duration objective) const;
 
+    /// Returns whether a request is to be sent to a second target at once because the VM of the first one has turned slow:
+    /// it would miss its objective there, and can still meet it elsewhere. The pace is the time that work takes there
+    /// relative to the usual time; the objective is zero if there is none.
+    bool slowedDown(Duration elapsed, Duration objective, double pace) const;
+
     /// Returns the average time until the answer, zero before the first one.
     Duration usual() const;
 
--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -99,6 +99,9 @@
     /// Notes how a try ended.
     void finished(const std::string &target, const RouterOutcome &outcome, TimePoint now);
 
+    /// Returns the pace of a target, in percent, that was reported after a point in time; 0 if none was.
+    std::uint32_t paceSince(const std::string &target, TimePoint since) const;
+
     /// Returns how many targets may take work.
     std::size_t usableTargets() const;
 
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -191,6 +191,7 @@
         out.checkAnswer = hooks.checkAnswer;
         out.targetFields = hooks.targetFields;
         out.onDoubt = [this](TargetDoubt doubt) { takeDoubt(doubt); };
+        out.onPace = [this] { tellLoad(true); };
         out.connectTimeout = TargetConnectTimeout;
         out.closesAbandoned = true;
         out.abandonedLinger = AbandonedLinger;
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
 constexpr std::uint16_t BadGateway = 502;
+/// Time between looks at the pace of the VM that runs a request; a small part of the shortest slow phase.
+constexpr Duration PaceLook = std::chrono::milliseconds(12);
 constexpr std::uint16_t ServiceUnavailable = 503;
 
 /// Notices whether the body was used up. A body within the bound is held, so that it can be sent again.
@@ -194,17 +196,22 @@
         const RaceEnd end{*race};
         const TimePoint begun = now();
         startAttempt(*race, planned);
-        TimePoint hedgeAt = begun + hedgeDelay(begun);
+        const TimePoint hedgeAt = begun + hedgeDelay(begun);
+        bool mayHedge = true;
         for (;;) {
-            const auto attempt = co_await race->next(*m_dispatcher.m_options.clock, hedgeAt);
+            const TimePoint look = mayHedge ? std::min(hedgeAt, now() + PaceLook) : TimePoint::max();
+            const auto attempt = co_await race->next(*m_dispatcher.m_options.clock, look);
             if (!attempt) {
-                hedgeAt = TimePoint::max();
-                const auto second = m_sink.committed() ? std::nullopt : planHedge();
-                if (second) {
-                    startAttempt(*race, *second);
+                mayHedge = !m_sink.committed();
+                if (mayHedge && (now() >= hedgeAt || slowedDown(planned.choice.target, begun))) {
+                    mayHedge = false;
+                    if (const auto second = planHedge()) {
+                        startAttempt(*race, *second);
+                    }
                 }
                 continue;
             }
+            mayHedge = false;
             if (attempt->result.whole) {
                 logAnswer(attempt->result, attempt->head.target, begun);
                 co_return attempt->result;
@@ -278,6 +285,20 @@
         return timer.delay(inTime ? m_request.objective - begun : Duration::zero());
     }
 
+    /// Returns whether the target's VM has turned slow since the request went there, so that it would be late.
+    bool slowedDown(const std::string &target, TimePoint begun) const
+    {
+        constexpr double PercentScale = 100;
+        const bool aims = m_request.objective != TimePoint::max();
+        const std::lock_guard lock(m_shard->mutex);
+        const auto it = m_shard->timers.find(m_request.head.route);
+        if (!aims || it == m_shard->timers.end()) {
+            return false;
+        }
+        const double pace = m_shard->router.paceSince(target, begun) / PercentScale;
+        return it->second.slowedDown(now() - begun, m_request.objective - begun, pace);
+    }
+
     std::optional<PlannedTry> planHedge()
     {
         const std::lock_guard lock(m_shard->mutex);
--- a/src/daemon/tryrace.cpp
+++ b/src/daemon/tryrace.cpp
@@ -156,11 +156,8 @@
 asio::awaitable<std::shared_ptr<TryRace::Attempt>> TryRace::next(const Clock &clock, TimePoint until)
 {
     for (;;) {
-        for (const auto &it : m_attempts) {
-            if (it->over && !it->taken) {
-                it->taken = true;
-                co_return it;
-            }
+        if (const auto ended = takeEnded()) {
+            co_return ended;
         }
         if (clock.now() >= until) {
             co_return nullptr;
@@ -171,6 +168,21 @@
     }
 }
 
+/// The winner goes before the tries that it cancelled.
+std::shared_ptr<TryRace::Attempt> TryRace::takeEnded()
+{
+    std::shared_ptr<Attempt> out;
+    for (const auto &it : m_attempts) {
+        if (it->over && !it->taken && (!out || it.get() == m_winner)) {
+            out = it;
+        }
+    }
+    if (out) {
+        out->taken = true;
+    }
+    return out;
+}
+
 std::size_t TryRace::running() const
 {
     const auto runs = [](const auto &it) { return !it->over; };
--- a/src/daemon/tryrace.h
+++ b/src/daemon/tryrace.h
@@ -53,6 +53,7 @@
     static asio::awaitable<void> runOne(std::shared_ptr<TryRace> self, std::shared_ptr<Attempt> attempt,
                                         std::shared_ptr<StopSource> stop, TimePoint deadline);
     bool claim(const Attempt &attempt);
+    std::shared_ptr<Attempt> takeEnded();
 
     asio::any_io_executor m_executor;
     CallerSink *m_sink;
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -76,6 +76,23 @@
         asio::post(waiter->timer.get_executor(), [waiter] { waiter->timer.cancel(); });
     }
 
+    /// Takes in a pace in percent, 0 if the target told none.
+    void notePace(std::uint32_t percent)
+    {
+        if (percent == 0) {
+            return;
+        }
+        {
+            const std::lock_guard lock(mutex);
+            guard.setPace(percent, options.clock->now());
+        }
+        const std::uint32_t before = tellsPace.exchange(percent);
+        const bool changed = 2 * percent > 3 * before || 2 * before > 3 * percent;
+        if (changed && options.onPace) {
+            options.onPace();
+        }
+    }
+
     void finish(GuardTicket ticket, const GuardOutcome &outcome)
     {
         const std::lock_guard lock(mutex);
@@ -99,6 +116,7 @@
     Address address;
     std::uint32_t slotBound = 0;
     std::uint32_t policySlots = 0;
+    std::atomic<std::uint32_t> tellsPace = 0;
     ConnectionPool<TargetConnection> idle;
     std::shared_ptr<std::atomic<std::size_t>> openCount = std::make_shared<std::atomic<std::size_t>>(0);
 };
@@ -416,10 +434,7 @@
                 co_return head;
             }
             const AnswerCheck check = m_impl.options.checkAnswer(m_head, *head);
-            if (check.pacePercent > 0) {
-                const std::lock_guard lock(m_impl.mutex);
-                m_impl.guard.setPace(check.pacePercent, m_impl.options.clock->now());
-            }
+            m_impl.notePace(check.pacePercent);
             if (check.kind == AnswerCheck::Kind::Invalid) {
                 co_return absl::DataLossError("the target sent what is no answer to the request");
             }
@@ -598,8 +613,7 @@
 
 void GuardedTarget::setPace(std::uint32_t percent)
 {
-    const std::lock_guard lock(m_impl->mutex);
-    m_impl->guard.setPace(percent, m_impl->options.clock->now());
+    m_impl->notePace(percent);
 }
 
 LoadReport GuardedTarget::load() const
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -38,6 +38,8 @@
     std::function<AnswerCheck(const RequestHead &request, const ResponseHead &answer)> checkAnswer;
     /// Returns fields that a request to the target gets besides those of the caller.
     std::function<std::vector<HeaderField>(const RequestHead &request)> targetFields;
+    /// Called when the pace that the target tells has changed by half or more.
+    std::function<void()> onPace;
     /// Called at a sign of doubt; without it, a connection that is cut off counts as a restart.
     std::function<void(TargetDoubt doubt)> onDoubt;
     Duration connectTimeout = std::chrono::seconds(1); ///< Time for a connection to the target.
--- a/src/retry/hedge.cpp
+++ b/src/retry/hedge.cpp
@@ -19,6 +19,10 @@
 constexpr double LeastDelay = 1.15;
 /// Time that a second try needs, relative to the average.
 constexpr double SecondTry = 1.15;
+/// A VM on which work takes this many times the usual time has turned slow.
+constexpr double SlowPace = 1.8;
+/// Longest time by which a slow phase delays a request, in seconds.
+constexpr double SlowPhase = 0.15;
 /// Delay of a route that has had no answer yet.
 constexpr Duration UnknownDelay = std::chrono::milliseconds(500);
 
@@ -54,6 +58,17 @@
     return fromSeconds(std::max(out, LeastDelay * m_usual));
 }
 
+bool HedgeTimer::slowedDown(Duration elapsed, Duration objective, double pace) const
+{
+    if (pace < SlowPace || m_usual <= 0 || objective <= Duration::zero()) {
+        return false;
+    }
+    const double remaining = std::max(0.0, m_usual - toSeconds(elapsed));
+    const double there = std::min(remaining * pace, remaining + SlowPhase);
+    const double aim = toSeconds(objective - elapsed);
+    return there > aim && SecondTry * m_usual < aim;
+}
+
 Duration HedgeTimer::usual() const
 {
     return fromSeconds(m_usual);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -33,15 +33,20 @@
 /// Time for which a reported pace is trusted; noisy neighbours come and go about this often.
 constexpr double PaceMemorySeconds = 0.1;
 /// Longest slow phase that is expected, in seconds: work that outlasts it goes on at the usual pace.
-constexpr double SlowPhaseSeconds = 0.15;
+constexpr double SlowPhaseSeconds = 0.25;
 /// Extra time at a target in another data centre, in seconds: two ways across and the cost of the bytes.
 constexpr double RemoteSeconds = 0.003;
-/// Growth of the work time from an idle to a full target; spreads work before slots run out.
-constexpr double LoadSlope = 0.3;
+/// Growth of the work time from an idle to a full target: work slows down when most slots are taken, as measured on the
+/// stand-in's users' workers (docs/DECISIONS.md).
+constexpr double FullSlowdown = 1.5;
+/// Share of slots up to which work does not slow down.
+constexpr double FreelyUsed = 0.3;
 /// Time that a certain failure costs, in seconds: the try and another one elsewhere.
 constexpr double FailureSeconds = 0.5;
 /// Share of the finish time by which equal targets differ at random, so that nodes do not all choose the same one.
 constexpr double Jitter = 0.1;
+/// Work that is expected as long as nothing is known, in seconds.
+constexpr double LeastWorkSeconds = 0.005;
 /// A target whose guard has been silent for this long is avoided.
 constexpr Duration SilenceBound = std::chrono::milliseconds(1000);
 /// Extra time at such a target, in seconds.
@@ -199,14 +204,16 @@
                                  TimePoint now) const
 {
     const double limit = std::max<double>(1, limitOf(entry));
-    const double usual = work > Duration::zero() ? toSeconds(work) : averages.latency;
+    const double known = work > Duration::zero() ? toSeconds(work) : averages.latency;
+    const double usual = std::max(known, LeastWorkSeconds);
     const double pace = paceOf(entry, averages, now);
     const double paced = std::min(usual * pace, usual + SlowPhaseSeconds * std::max(0.0, 1 - 1 / pace));
     const double latency = entry.latency > 0 ? entry.latency : averages.latency;
     const double ahead = std::max(0.0, estimate + 1 - limit);
     const double failures = std::max(0.0, failureShareOf(entry, now) - averages.failureShare);
     const bool silent = entry.report && now - entry.reportedAt > SilenceBound;
-    double out = paced * (1 + LoadSlope * std::min(1.0, estimate / limit)) + ahead * latency / limit;
+    const double crowded = std::clamp(((estimate + 1) / limit - FreelyUsed) / (1 - FreelyUsed), 0.0, 1.0);
+    double out = paced * (1 + FullSlowdown * crowded * crowded) + ahead * latency / limit;
     out += failures * FailureSeconds;
     out += entry.target.dataCentre != m_options.dataCentre ? RemoteSeconds : 0;
     out += silent || limitOf(entry) == 0 ? SilenceSeconds : 0;
@@ -328,6 +335,13 @@
     return std::any_of(m_entries.begin(), m_entries.end(), usable);
 }
 
+std::uint32_t ServiceRouter::paceSince(const std::string &target, TimePoint since) const
+{
+    const auto it = m_entries.find(target);
+    const bool fresh = it != m_entries.end() && it->second.report && it->second.reportedAt > since;
+    return fresh ? it->second.report->pacePercent : 0;
+}
+
 std::size_t ServiceRouter::usableTargets() const
 {
     const auto usable = [&](const auto &it) { return mayTakeWork(it.second); };
