--- a/include/shallotrelay/consensus/replica.h
+++ b/include/shallotrelay/consensus/replica.h
@@ -10,7 +10,8 @@
 ///
 /// Changes of the voters follow the one-at-a-time rule of the Raft dissertation (section 4.1): a replica asks to join, is
 /// brought up to date, and becomes a voter; a voter whose address shows up under another identity has lost its disk and
-/// is removed first; a voter that has been silent for long is removed when a replica waits to take its place.
+/// is removed first; a voter that has been silent is removed when a replica waits to take its place, and after a long
+/// silence in any case, since it may have been replaced at another address.
 #pragma once
 
 #include "shallotrelay/base/clock.h"
@@ -53,6 +54,7 @@
     Duration electionHigh = std::chrono::milliseconds(800); ///< Longest silence of the leader before an election.
     Duration heartbeat = std::chrono::milliseconds(100); ///< Time between messages of a leader.
     Duration voterSilence = std::chrono::milliseconds(1500); ///< Silence after which a waiting replica takes its place.
+    Duration voterGone = std::chrono::seconds(10); ///< Silence after which a voter is removed in any case.
     std::size_t maxBatchBytes = 256 * 1024; ///< Most bytes of entries in one message.
 };
 
@@ -165,6 +167,7 @@
     void stepDownIfAlone(TimePoint now);
     void changeMembers(TimePoint now);
     std::optional<std::vector<ReplicaMember>> nextMembers(TimePoint now) const;
+    const Progress *longestSilent(Duration bound, TimePoint now) const;
     void takeVoteRequest(const ConsensusMessage &message, TimePoint now);
     void takeVoteReply(const ConsensusMessage &message, TimePoint now);
     void takeAppend(const ConsensusMessage &message, TimePoint now);
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -325,6 +325,8 @@
 std::optional<std::vector<ReplicaMember>> Replica::nextMembers(TimePoint now) const
 {
     constexpr std::size_t LeastVoters = 2;
+    // Fewer voters would not bear the loss of one.
+    constexpr std::size_t LeastVotersUnreplaced = 3;
     const std::vector<ReplicaMember> &current = members();
     for (const auto &joining : m_progress) {
         const Progress &progress = joining.second;
@@ -337,13 +339,7 @@
                 return without(current, it.id);
             }
         }
-        const Progress *silent = nullptr;
-        for (const auto &it : m_progress) {
-            const bool gone = it.second.voter && now - it.second.heard > m_options.voterSilence;
-            if (gone && (silent == nullptr || it.second.heard < silent->heard)) {
-                silent = &it.second;
-            }
-        }
+        const Progress *silent = longestSilent(m_options.voterSilence, now);
         if (silent != nullptr && current.size() > LeastVoters) {
             return without(current, silent->member.id);
         }
@@ -351,9 +347,26 @@
         out.push_back(progress.member);
         return out;
     }
+    const Progress *gone = longestSilent(m_options.voterGone, now);
+    if (gone != nullptr && current.size() > LeastVotersUnreplaced) {
+        return without(current, gone->member.id);
+    }
     return std::nullopt;
 }
 
+/// Returns the voter that has been silent for longest, or nullptr if none has for the bound.
+const Replica::Progress *Replica::longestSilent(Duration bound, TimePoint now) const
+{
+    const Progress *out = nullptr;
+    for (const auto &it : m_progress) {
+        const bool silent = it.second.voter && now - it.second.heard > bound;
+        if (silent && (out == nullptr || it.second.heard < out->heard)) {
+            out = &it.second;
+        }
+    }
+    return out;
+}
+
 void Replica::join(const ReplicaMember &member, TimePoint now)
 {
     m_now = now;
--- /dev/null
+++ b/tests/unit/hedgetest.cpp
@@ -0,0 +1,158 @@
+#include "support.h"
+
+#include "shallotrelay/retry/hedge.h"
+#include "shallotrelay/routing/callplan.h"
+
+#include <catch2/catch.hpp>
+
+namespace shallotrelay
+{
+namespace
+{
+
+ServiceRouter earliestRouter(std::uint32_t limit)
+{
+    RouterOptions options;
+    options.dataCentre = "brasov-a";
+    options.strategy = RoutingStrategy::EarliestFinish;
+    ServiceRouter router(options);
+    std::vector<RouterTarget> targets;
+    for (const char *name : {"t1", "t2", "t3"}) {
+        targets.push_back({name, "brasov-a", limit, TargetState::Ready, true, "boot"});
+    }
+    router.setTargets(targets, at(0s));
+    return router;
+}
+
+LoadReport loadOf(std::uint32_t inFlight, std::uint32_t pace)
+{
+    LoadReport out;
+    out.inFlight = inFlight;
+    out.limit = 12;
+    out.state = TargetState::Ready;
+    out.latencyUs = 80000;
+    out.pacePercent = pace;
+    return out;
+}
+
+}
+
+TEST_CASE("A second try starts when few requests would still be without an answer, early enough for the objective")
+{
+    HedgeTimer timer;
+    for (int i = 0; i < 400; ++i) {
+        timer.answered(i % 20 == 0 ? 400ms : 80ms);
+    }
+    CHECK(timer.usual() > 80ms);
+    CHECK(timer.usual() < 130ms);
+    CHECK(timer.delay(0s) >= timer.usual());
+    CHECK(timer.delay(220ms) <= 140ms);
+}
+
+TEST_CASE("A slow phase: a request is moved while it can still meet its objective elsewhere, not when it is nearly done")
+{
+    HedgeTimer timer;
+    for (int i = 0; i < 100; ++i) {
+        timer.answered(80ms);
+    }
+    CHECK(timer.slowedDown(20ms, 200ms, 5.0));
+    CHECK_FALSE(timer.slowedDown(20ms, 200ms, 1.0));
+    CHECK_FALSE(timer.slowedDown(75ms, 200ms, 5.0));
+    CHECK_FALSE(timer.slowedDown(150ms, 200ms, 5.0));
+    CHECK_FALSE(timer.slowedDown(20ms, 0s, 5.0));
+}
+
+TEST_CASE("The target that is expected to finish first is taken: a slow VM and a nearly full target are avoided")
+{
+    ServiceRouter router = earliestRouter(12);
+    Random random(1);
+    router.reported("t1", loadOf(0, 500), at(1s));
+    router.reported("t2", loadOf(11, 100), at(1s));
+    router.reported("t3", loadOf(3, 100), at(1s));
+    for (int i = 0; i < 50; ++i) {
+        CHECK(router.choose({}, at(1s), random, 80ms)->target == "t3");
+    }
+    CHECK(router.choose({"t3"}, at(1s), random, 80ms)->target == "t2");
+    CHECK(router.paceSince("t1", at(900ms)) == 500);
+    CHECK(router.paceSince("t1", at(1s)) == 0);
+}
+
+TEST_CASE("A target whose guard has been silent is avoided")
+{
+    ServiceRouter router = earliestRouter(12);
+    Random random(1);
+    router.reported("t1", loadOf(0, 100), at(1s));
+    router.reported("t2", loadOf(6, 100), at(3s));
+    router.reported("t3", loadOf(6, 100), at(3s));
+    for (int i = 0; i < 20; ++i) {
+        CHECK(router.choose({}, at(3s), random, 80ms)->target != "t1");
+    }
+}
+
+TEST_CASE("A second try needs the budget, a target with room, and a request that may run twice")
+{
+    ServiceRouter router = earliestRouter(12);
+    Random random(1);
+    RetryBudget budget(20);
+    for (int i = 0; i < 100; ++i) {
+        budget.firstTry();
+    }
+    CallRules rules{.repeatable = true, .hedges = true};
+    CallPlan plan(rules);
+    REQUIRE(plan.next(router, budget, random, at(0s)));
+    const auto second = plan.hedge(router, budget, random, at(0s));
+    REQUIRE(second);
+    CHECK(second->reason == TryReason::Hedge);
+
+    rules.repeatable = false;
+    CallPlan unsafe(rules);
+    unsafe.next(router, budget, random, at(0s));
+    CHECK_FALSE(unsafe.hedge(router, budget, random, at(0s)));
+
+    rules.repeatable = true;
+    RetryBudget empty(0);
+    CallPlan poor(rules);
+    poor.next(router, empty, random, at(0s));
+    CHECK_FALSE(poor.hedge(router, empty, random, at(0s)));
+
+    for (const char *it : {"t1", "t2", "t3"}) {
+        router.reported(it, loadOf(12, 100), at(1s));
+    }
+    CallPlan crowded(rules);
+    crowded.next(router, budget, random, at(1s));
+    CHECK_FALSE(crowded.hedge(router, budget, random, at(1s)));
+}
+
+TEST_CASE("Repeats that happen anyway are charged, and later first tries make up for them")
+{
+    RetryBudget budget(10);
+    budget.setBurst(2);
+    budget.charge(5);
+    CHECK_FALSE(budget.takeRetry());
+    int tries = 0;
+    while (!budget.takeRetry()) {
+        budget.firstTry();
+        ++tries;
+    }
+    CHECK(tries >= 30);
+    CHECK(tries <= 31);
+}
+
+TEST_CASE("A rejection by a target costs the budget, a refusal by a guard does not")
+{
+    RetryBudget budget(10);
+    budget.setBurst(1);
+    TryFailure failure;
+    failure.timeLeft = 1s;
+    failure.execution = Execution::NotRun;
+    CHECK(decideRetry(failure, budget) == RetryDecision::TryAnother);
+    failure.reachedTarget = true;
+    failure.targets = 1;
+    CHECK(decideRetry(failure, budget) == RetryDecision::Retry);
+    CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
+    budget.charge(-10);
+    failure.targets = failure.maxTargets;
+    CHECK(decideRetry(failure, budget) == RetryDecision::GiveUp);
+}
+
+}
--- /dev/null
+++ b/tests/unit/intenttest.cpp
@@ -0,0 +1,206 @@
+#include "support.h"
+
+#include "shallotrelay/bundle/route.h"
+#include "shallotrelay/intent/intentledger.h"
+#include "shallotrelay/membership/controlchoice.h"
+#include "shallotrelay/membership/targetpresence.h"
+
+#include <catch2/catch.hpp>
+
+namespace shallotrelay
+{
+namespace
+{
+
+IntentOrder stateOrder(std::uint64_t base, std::uint64_t version, const std::string &digest)
+{
+    IntentOrder out;
+    out.kind = IntentKind::State;
+    out.baseVersion = base;
+    out.version = version;
+    out.digest = digest;
+    out.document = "document of " + digest;
+    return out;
+}
+
+Route routeOf(const std::string &name, const std::string &prefix)
+{
+    Route out;
+    out.name = name;
+    out.host = "news.example";
+    out.pathPrefix = prefix;
+    out.timeout = 500ms;
+    out.objective = 200ms;
+    out.services = {{"redactie", 1}};
+    return out;
+}
+
+TargetHeartbeat heartbeatOf(const std::string &id, std::uint64_t born, std::uint64_t sequence)
+{
+    TargetHeartbeat out;
+    out.id = id;
+    out.service = "redactie";
+    out.address = "127.0.0.1:7080";
+    out.slots = 12;
+    out.bornMs = born;
+    out.sequence = sequence;
+    return out;
+}
+
+}
+
+TEST_CASE("Of two orders on the same version one wins, and the same order again is told as accepted, also much later")
+{
+    IntentLedger ledger;
+    CHECK(ledger.apply(stateOrder(0, 2, "a"), 1) == IntentVerdict::Accepted);
+    CHECK(ledger.apply(stateOrder(2, 5, "b"), 2) == IntentVerdict::Accepted);
+    CHECK(ledger.apply(stateOrder(2, 5, "c"), 3) == IntentVerdict::Superseded);
+    CHECK(ledger.document() == "document of b");
+    for (std::uint64_t version = 6; version < 400; ++version) {
+        REQUIRE(ledger.apply(stateOrder(version - 1, version, "x" + std::to_string(version)), version)
+                == IntentVerdict::Accepted);
+    }
+    CHECK(ledger.apply(stateOrder(2, 5, "b"), 500) == IntentVerdict::Repeated);
+    CHECK(ledger.version() == 399);
+}
+
+TEST_CASE("A version that is not above the current one is outdated")
+{
+    IntentLedger ledger;
+    ledger.apply(stateOrder(0, 7, "a"), 1);
+    CHECK(ledger.check(stateOrder(7, 7, "b")) == IntentVerdict::Outdated);
+    CHECK(ledger.check(stateOrder(7, 3, "b")) == IntentVerdict::Outdated);
+    CHECK(ledger.revision() == 1);
+}
+
+TEST_CASE("A data centre is taken out and back, and both orders may come twice")
+{
+    IntentLedger ledger;
+    IntentOrder out;
+    out.kind = IntentKind::TakeOut;
+    out.dataCentre = "recife-a";
+    CHECK(ledger.apply(out, 1) == IntentVerdict::Accepted);
+    CHECK(ledger.apply(out, 2) == IntentVerdict::Repeated);
+    CHECK(ledger.update().outOfService == std::vector<std::string>{"recife-a"});
+    out.kind = IntentKind::TakeBack;
+    CHECK(ledger.apply(out, 3) == IntentVerdict::Accepted);
+    CHECK(ledger.update().outOfService.empty());
+    CHECK(ledger.revision() == 3);
+}
+
+TEST_CASE("A snapshot holds all that the ledger knows")
+{
+    IntentLedger ledger;
+    ledger.apply(stateOrder(0, 2, "a"), 1);
+    IntentOrder out;
+    out.kind = IntentKind::TakeOut;
+    out.dataCentre = "recife-a";
+    ledger.apply(out, 2);
+    IntentLedger restored;
+    restored.restore(ledger.snapshot());
+    CHECK(restored.snapshot() == ledger.snapshot());
+    CHECK(restored.check(stateOrder(0, 2, "a")) == IntentVerdict::Repeated);
+}
+
+TEST_CASE("The longest prefix of the host decides")
+{
+    const RouteTable table({routeOf("all", "/"), routeOf("a", "/a/"), routeOf("ab", "/a/b/")});
+    CHECK(table.find("news.example", "/a/b/c")->name == "ab");
+    CHECK(table.find("NEWS.example:8080", "/a/x?y=/a/b/")->name == "a");
+    CHECK(table.find("news.example", "/a")->name == "all");
+    CHECK(table.find("other.example", "/a/") == nullptr);
+    CHECK(RouteTable({routeOf("a", "/a/")}).find("news.example", "/b/") == nullptr);
+}
+
+TEST_CASE("A route with a fault is refused, with the field named")
+{
+    const auto faultOf = [](const std::function<void(Route &)> &spoil) {
+        Route route = routeOf("a", "/a/");
+        spoil(route);
+        return std::string(checkRoute(route).message());
+    };
+    CHECK(checkRoute(routeOf("a", "/a/")).ok());
+    CHECK(faultOf([](Route &it) { it.timeout = 601s; }).find("timeout") == 0);
+    CHECK(faultOf([](Route &it) { it.objective = it.timeout + 60s; }).find("objective") == 0);
+    CHECK(faultOf([](Route &it) { it.maxTargets = 0; }).find("max_tries") == 0);
+    CHECK(faultOf([](Route &it) { it.pathPrefix = "/a"; }).find("path") == 0);
+    CHECK(faultOf([](Route &it) { it.services = {{"redactie", 0}}; }).find("to") == 0);
+}
+
+TEST_CASE("Requests are shared by weight")
+{
+    Route route = routeOf("a", "/a/");
+    route.services = {{"old", 90}, {"new", 10}};
+    Random random(1);
+    int n = 0;
+    for (int i = 0; i < 1000; ++i) {
+        n += drawService(route, random) == "new" ? 1 : 0;
+    }
+    CHECK(n > 60);
+    CHECK(n < 140);
+}
+
+TEST_CASE("A late heartbeat of an earlier start changes nothing")
+{
+    TargetPresence presence;
+    REQUIRE(presence.heartbeat(heartbeatOf("a", 1000, 5)));
+    REQUIRE(presence.heartbeat(heartbeatOf("b", 2000, 1)));
+    CHECK_FALSE(presence.heartbeat(heartbeatOf("a", 1000, 6)));
+    CHECK(presence.current()->said.id == "b");
+    CHECK_FALSE(presence.heartbeat(heartbeatOf("b", 2000, 1)));
+}
+
+TEST_CASE("A target that starts again under the name that it had is a new start, also with a lower sequence")
+{
+    TargetPresence presence;
+    REQUIRE(presence.heartbeat(heartbeatOf("a", 1000, 50)));
+    const std::uint64_t start = presence.current()->start;
+    REQUIRE(presence.heartbeat(heartbeatOf("a", 3000, 1)));
+    CHECK(presence.current()->start > start);
+}
+
+TEST_CASE("A start that leaves does not come back, but the next one does")
+{
+    TargetPresence presence;
+    presence.heartbeat(heartbeatOf("a", 1000, 5));
+    REQUIRE(presence.left("a"));
+    presence.heartbeat(heartbeatOf("a", 1000, 6));
+    CHECK(presence.current()->said.leaving);
+    presence.heartbeat(heartbeatOf("b", 2000, 1));
+    CHECK_FALSE(presence.current()->said.leaving);
+    CHECK_FALSE(presence.left("a"));
+}
+
+TEST_CASE("A probe finds a target that nobody announced, and its next heartbeat completes it")
+{
+    TargetPresence presence;
+    TargetProbe probe;
+    probe.id = "a";
+    probe.slots = 14;
+    REQUIRE(presence.probed(probe, "redactie", "127.0.0.1:7080"));
+    CHECK(presence.current()->said.slots == 14);
+    const std::uint64_t start = presence.current()->start;
+    CHECK_FALSE(presence.probed(probe, "redactie", "127.0.0.1:7080"));
+    REQUIRE(presence.heartbeat(heartbeatOf("a", 1000, 9)));
+    CHECK(presence.current()->start == start);
+}
+
+TEST_CASE("Control VMs that do not answer are passed over for a while, and seeds help when none answers")
+{
+    ControlChoice choice({"s1", "s2", "s3"});
+    CHECK(choice.wanted(at(0s)).size() == 3);
+    choice.setKnown({"c1", "c2", "c3", "c4", "c5", "c6", "c7"});
+    CHECK(choice.wanted(at(0s)) == std::vector<std::string>{"c1", "c2", "c3", "c4", "c5"});
+    choice.noteLink("c2", false, at(0s));
+    CHECK(choice.wanted(at(1s)).at(1) == "c2");
+    CHECK(choice.wanted(at(2s)) == std::vector<std::string>{"c1", "c3", "c4", "c5", "c6"});
+    CHECK(choice.wanted(at(7600ms)).at(1) == "c2");
+    choice.noteLink("c2", true, at(8s));
+    CHECK(choice.wanted(at(9s)).at(1) == "c2");
+    for (const char *it : {"c1", "c2", "c3", "c4", "c5", "c6", "c7"}) {
+        choice.noteLink(it, false, at(10s));
+    }
+    CHECK(choice.wanted(at(12s)).size() == 10);
+}
+
+}
--- /dev/null
+++ b/tests/unit/replicalogtest.cpp
@@ -0,0 +1,164 @@
+#include "support.h"
+
+#include "shallotrelay/storage/replicalog.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace shallotrelay
+{
+namespace
+{
+
+/// A folder that is removed at the end.
+class TemporaryFolder
+{
+public:
+    TemporaryFolder()
+    {
+        static int n = 0;
+        m_path = std::filesystem::temp_directory_path() / ("replicalog-" + std::to_string(::getpid()) + "-" + std::to_string(++n));
+    }
+
+    ~TemporaryFolder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(m_path, ignored);
+    }
+
+    std::string path() const
+    {
+        return m_path.string();
+    }
+
+    std::string file() const
+    {
+        return path() + "/replica.log";
+    }
+
+private:
+    std::filesystem::path m_path;
+};
+
+ConsensusEntry entryOf(std::uint64_t index, std::uint64_t term)
+{
+    return {index, term, EntryKind::Command, "command " + std::to_string(index)};
+}
+
+ReplicaRecovery reopen(const TemporaryFolder &folder)
+{
+    ReplicaRecovery out;
+    REQUIRE(ReplicaLog::open(folder.path(), &out).ok());
+    return out;
+}
+
+std::unique_ptr<ReplicaLog> begin(const TemporaryFolder &folder)
+{
+    ReplicaRecovery recovery;
+    auto log = ReplicaLog::open(folder.path(), &recovery);
+    REQUIRE(log.ok());
+    REQUIRE(recovery.id.empty());
+    REQUIRE((*log)->begin("id-1", {}).ok());
+    return *std::move(log);
+}
+
+}
+
+TEST_CASE("A replica log gives back what was stored")
+{
+    const TemporaryFolder folder;
+    {
+        const auto log = begin(folder);
+        REQUIRE(log->store({std::nullopt, HardState{3, "id-2"}, {entryOf(1, 2), entryOf(2, 3)}}).ok());
+    }
+    const ReplicaRecovery recovery = reopen(folder);
+    CHECK(recovery.id == "id-1");
+    CHECK(recovery.disk.hardState.term == 3);
+    CHECK(recovery.disk.hardState.vote == "id-2");
+    REQUIRE(recovery.disk.entries.size() == 2);
+    CHECK(recovery.disk.entries[1] == entryOf(2, 3));
+}
+
+TEST_CASE("An entry replaces those from its index on")
+{
+    const TemporaryFolder folder;
+    {
+        const auto log = begin(folder);
+        REQUIRE(log->store({std::nullopt, std::nullopt, {entryOf(1, 1), entryOf(2, 1), entryOf(3, 1)}}).ok());
+        REQUIRE(log->store({std::nullopt, std::nullopt, {entryOf(2, 2)}}).ok());
+    }
+    const ReplicaRecovery recovery = reopen(folder);
+    REQUIRE(recovery.disk.entries.size() == 2);
+    CHECK(recovery.disk.entries[1].term == 2);
+}
+
+TEST_CASE("A snapshot replaces all that was stored before it, and the identity stays")
+{
+    const TemporaryFolder folder;
+    {
+        const auto log = begin(folder);
+        REQUIRE(log->store({std::nullopt, std::nullopt, {entryOf(1, 1), entryOf(2, 1)}}).ok());
+        ReplicaSnapshot snapshot;
+        snapshot.index = 2;
+        snapshot.term = 1;
+        snapshot.data = "state";
+        REQUIRE(log->store({snapshot, HardState{1, ""}, {entryOf(3, 1)}}).ok());
+        REQUIRE(log->store({std::nullopt, std::nullopt, {entryOf(4, 1)}}).ok());
+    }
+    const ReplicaRecovery recovery = reopen(folder);
+    CHECK(recovery.id == "id-1");
+    CHECK(recovery.disk.snapshot.data == "state");
+    CHECK(recovery.disk.entries.size() == 2);
+}
+
+TEST_CASE("A torn batch at the end is cut off wherever it was torn, and the log goes on")
+{
+    const TemporaryFolder folder;
+    {
+        const auto log = begin(folder);
+        REQUIRE(log->store({std::nullopt, HardState{1, ""}, {entryOf(1, 1)}}).ok());
+    }
+    const auto good = std::filesystem::file_size(folder.file());
+    {
+        ReplicaRecovery recovery;
+        auto log = ReplicaLog::open(folder.path(), &recovery);
+        REQUIRE(log.ok());
+        REQUIRE((*log)->store({std::nullopt, HardState{2, "x"}, {entryOf(2, 2)}}).ok());
+    }
+    const auto whole = std::filesystem::file_size(folder.file());
+    for (auto size = good; size < whole; ++size) {
+        const TemporaryFolder torn;
+        std::filesystem::create_directories(torn.path());
+        std::filesystem::copy_file(folder.file(), torn.file());
+        std::filesystem::resize_file(torn.file(), size);
+        ReplicaRecovery recovery;
+        auto log = ReplicaLog::open(torn.path(), &recovery);
+        REQUIRE(log.ok());
+        REQUIRE(recovery.disk.entries.size() == 1);
+        REQUIRE((*log)->store({std::nullopt, std::nullopt, {entryOf(2, 3)}}).ok());
+        REQUIRE(reopen(torn).disk.entries.at(1).term == 3);
+    }
+}
+
+TEST_CASE("Bytes that went bad in the last batch end the log before them")
+{
+    const TemporaryFolder folder;
+    std::uintmax_t good = 0;
+    {
+        const auto log = begin(folder);
+        REQUIRE(log->store({std::nullopt, std::nullopt, {entryOf(1, 1)}}).ok());
+        good = std::filesystem::file_size(folder.file());
+        REQUIRE(log->store({std::nullopt, std::nullopt, {entryOf(2, 1)}}).ok());
+    }
+    {
+        std::fstream file(folder.file(), std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(static_cast<std::streamoff>(good + 20));
+        file.put('\x7f');
+    }
+    CHECK(reopen(folder).disk.entries.size() == 1);
+}
+
+}
