--- a/include/shallotrelay/bundle/route.h
+++ b/include/shallotrelay/bundle/route.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,12 +79,15 @@
     /// port, the path with a query.
     const Route *find(std::string_view host, std::string_view target) const;
 
+    /// Returns whether a route has the name.
+    bool names(const std::string &name) const;
+
     /// Returns how many routes there are.
     std::size_t size() const;
 
 private:
     std::map<std::string, std::map<std::string, Route, std::less<>>, std::less<>> m_hosts; // routes by prefix, by host
-    std::size_t m_size = 0;
+    std::set<std::string> m_names;
 };
 
 }
--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -16,6 +16,7 @@
 #include "shallotrelay/admission/waitingline.h"
 #include "shallotrelay/base/clock.h"
 #include "shallotrelay/guard/coldrate.h"
+#include "shallotrelay/limits/slowdown.h"
 #include "shallotrelay/messages.h"
 
 #include <cstdint>
@@ -39,6 +40,7 @@
     Duration queueWait{}; ///< Longest time that a request waits.
     std::uint64_t revision = 0; ///< Revision of the bundle.
     double coldPerSecond = 0; ///< Starts a second in cold start; 0 means no bound.
+    bool learnsLimit = false; ///< Whether the guard admits fewer at once than the slots where the target serves better so.
     Duration coldTime{}; ///< Time that a restarted target stays cold unless it tells otherwise.
 
     bool operator==(const GuardPolicy &other) const = default;
@@ -171,6 +173,8 @@
         bool headSeen = false;
         std::string route;
         bool repeats = false;
+        double use = 0;
+        std::uint32_t pacePercent = 0;
     };
     struct WaitingDetail {
         std::string route;
@@ -183,7 +187,9 @@
     Duration retryAfter() const;
     void start(GuardTicket ticket, const WaitingDetail &detail, TimePoint now);
     bool mayStart(TimePoint now);
-    Duration expectedWork(const std::string &route) const;
+    Duration expectedWork(const std::string &route, TimePoint now) const;
+    bool wouldBeLate(const GuardOffer &offer, TimePoint now) const;
+    double useAt(std::size_t running) const;
     ServiceRate rate(TimePoint now) const;
     GuardRelease releaseWaiting(TimePoint now);
     GuardRelease refuseAllWaiting();
@@ -203,6 +209,7 @@
     std::map<GuardTicket, WaitingDetail> m_waitingDetails;
     std::map<std::string, double> m_workByRoute; // seconds, average by route
     ColdRate m_coldRate;
+    SlowdownModel m_slowdown;
     TimePoint m_coldUntil;
     TimePoint m_heldUntil;
     std::uint32_t m_pacePercent = 0;
--- a/src/bundle/route.cpp
+++ b/src/bundle/route.cpp
@@ -61,9 +61,9 @@
 }
 
 RouteTable::RouteTable(const std::vector<Route> &routes)
-    : m_size(routes.size())
 {
     for (const Route &it : routes) {
+        m_names.insert(it.name);
         m_hosts[it.host][it.pathPrefix] = it;
     }
 }
@@ -90,9 +90,14 @@
     return nullptr;
 }
 
+bool RouteTable::names(const std::string &name) const
+{
+    return m_names.contains(name);
+}
+
 std::size_t RouteTable::size() const
 {
-    return m_size;
+    return m_names.size();
 }
 
 }
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -3,6 +3,7 @@
 #include "daemon/controllink.h"
 #include "daemon/dispatcher.h"
 #include "net/beaconsocket.h"
+#include "shallotrelay/admission/attemptage.h"
 #include "shallotrelay/membership/controlchoice.h"
 #include "wire/frame.h"
 
@@ -160,6 +161,7 @@
     LoadReport told;
     TimePoint toldAt;
     std::map<std::string, Address> peerAddresses;
+    std::map<std::string, AttemptAge> attemptAges; // by route
     TimePoint started;
     TimePoint stopBegun;
     bool guardLeft = false;
@@ -240,10 +242,11 @@
         head.callerService = presence.current() ? presence.current()->said.service : options.service;
         head.idempotencyKey.clear();
         hooks.cleanFields(&head.headers);
-        request->deadline = std::min(request->deadline, now + route->timeout);
         if (route->objective > Duration::zero()) {
-            request->objective = now + route->objective;
+            const Duration age = attemptAges[route->name].ageOf(request->deadline - now);
+            request->objective = now + route->objective - age;
         }
+        request->deadline = std::min(request->deadline, now + route->timeout);
         request->maxTargets = route->maxTargets;
         chargeCalls(head);
         return absl::OkStatus();
@@ -281,11 +284,14 @@
         }
         bundle->firm = ClusterFirm;
         for (auto &it : bundle->services) {
+            it.second.learnsLimit = true;
             it.second.retryPercent = static_cast<std::uint32_t>(options.retryRatio * RetryShare * PercentScale);
         }
+        const RouteTable routes(bundle->routes);
         if (!services.applyChecked(update.revision, *std::move(bundle))) {
             return;
         }
+        std::erase_if(attemptAges, [&](const auto &it) { return !routes.names(it.first); });
         local.applyPolicies();
         LogFields line;
         line.add("control", control).add("revision", update.revision).add("version", update.version);
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -319,7 +319,8 @@
         head.repeats = planned.reason == TryReason::Retry || planned.reason == TryReason::Hedge;
         head.timeLeftMs = toWholeMilliseconds(m_request.deadline - now());
         const bool inTime = m_request.objective != TimePoint::max() && m_request.objective > now();
-        head.objectiveLeftMs = inTime ? toWholeMilliseconds(m_request.objective - now()) : 0;
+        const bool aims = m_request.objective != TimePoint::max();
+        head.objectiveLeftMs = inTime ? toWholeMilliseconds(m_request.objective - now()) : (aims ? 1 : 0);
         if (head.repeats) {
             head.headers.push_back({std::string(RetryHeader), "1"});
         }
--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -250,6 +250,7 @@
     policy.queueWait = found->queueWait;
     policy.coldPerSecond = found->coldPerSecond;
     policy.coldTime = found->coldTime;
+    policy.learnsLimit = found->learnsLimit;
     return policy;
 }
 
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -24,6 +24,13 @@
 constexpr std::uint64_t MinSamplesForSlowness = 50;
 /// Old requests, or fast answers, that make a change of speed.
 constexpr std::uint32_t MinOldForSlowness = 3;
+constexpr double PercentScale = 100;
+/// A pace up to this counts as usual, in percent.
+constexpr std::uint32_t UsualPacePercent = 130;
+/// Longest time by which a slow phase of the VM delays a request, in seconds.
+constexpr double SlowPhaseSeconds = 0.15;
+/// Part of the limit above which a target counts as busy.
+constexpr double BusyShare = 0.85;
 /// Routes whose work is remembered; a bound against routes that come and go.
 constexpr std::size_t MaxRoutes = 1024;
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(10);
@@ -204,7 +211,8 @@
     if (standingRefusal() != GuardRefusal::None || now < m_heldUntil) {
         return 0;
     }
-    const std::uint32_t ramp = rampLimit(now);
+    const std::uint32_t full = rampLimit(now);
+    const std::uint32_t ramp = m_policy.learnsLimit ? std::min(full, m_slowdown.bestLimit(fullLimit())) : full;
     return m_slow ? std::min(ramp, m_slowLimit) : ramp;
 }
 
@@ -225,6 +233,11 @@
         answer.refusal = GuardRefusal::Expired;
         return answer;
     }
+    if (wouldBeLate(offer, now)) {
+        answer.refusal = GuardRefusal::TooLate;
+        answer.retryAfter = std::max(LeastRetryAfter, expectedWork(offer.route, now) / 2);
+        return answer;
+    }
     if (m_waiting.size() == 0 && mayStart(now)) {
         start(offer.ticket, {offer.route, offer.repeats}, now);
         answer.kind = GuardAnswer::Kind::Admitted;
@@ -237,7 +250,7 @@
         return answer;
     }
     const WaitingRequest request{offer.ticket,   offer.priority,           offer.objective,
-                                 offer.deadline, now + m_policy.queueWait, expectedWork(offer.route)};
+                                 offer.deadline, now + m_policy.queueWait, expectedWork(offer.route, now)};
     const WaitingAnswer waiting = m_waiting.offer(request, rate(now), now);
     if (!waiting.waits) {
         answer.refusal = GuardRefusal::TooLate;
@@ -251,7 +264,7 @@
 
 void Guard::start(GuardTicket ticket, const WaitingDetail &detail, TimePoint now)
 {
-    m_running[ticket] = {now, false, detail.route, detail.repeats};
+    m_running[ticket] = {now, false, detail.route, detail.repeats, useAt(m_running.size() + 1), m_pacePercent};
     m_coldRate.started(now);
 }
 
@@ -263,11 +276,36 @@
     return !cold(now) || m_policy.coldPerSecond <= 0 || m_coldRate.allows(m_policy.coldPerSecond, now);
 }
 
+double Guard::useAt(std::size_t running) const
+{
+    const std::uint32_t slots = std::max(1U, fullLimit());
+    return std::min(1.0, static_cast<double>(running) / slots);
+}
+
 /// Unknown routes are expected to take as long as the others.
-Duration Guard::expectedWork(const std::string &route) const
+Duration Guard::expectedWork(const std::string &route, TimePoint now) const
 {
     const auto it = m_workByRoute.find(route);
-    return fromSeconds(it == m_workByRoute.end() ? m_recentLatency : it->second);
+    const double average = it == m_workByRoute.end() ? m_recentLatency : it->second;
+    const double usual = m_policy.learnsLimit ? toSeconds(m_slowdown.usual(route)) : 0;
+    if (usual <= 0) {
+        return fromSeconds(average);
+    }
+    const std::size_t running = std::min<std::size_t>(m_running.size() + 1, limit(now));
+    const double crowded = usual * m_slowdown.factor(useAt(running));
+    const double pace = std::max(1.0, m_pacePercent / PercentScale);
+    return fromSeconds(std::min(crowded * pace, crowded + SlowPhaseSeconds * (1 - 1 / pace)));
+}
+
+/// A target that is busy does not take what it cannot answer in time: the slots are worth more to others, and the caller
+/// can still go elsewhere.
+bool Guard::wouldBeLate(const GuardOffer &offer, TimePoint now) const
+{
+    if (!m_policy.learnsLimit || offer.objective == TimePoint::max()) {
+        return false;
+    }
+    const bool busy = m_waiting.size() > 0 || m_running.size() > BusyShare * limit(now);
+    return busy && now + expectedWork(offer.route, now) > offer.objective;
 }
 
 ServiceRate Guard::rate(TimePoint now) const
@@ -301,12 +339,16 @@
     if (running == m_running.end()) {
         return {};
     }
-    const std::string route = running->second.route;
+    const Running request = running->second;
+    const std::string &route = request.route;
     m_running.erase(running);
     m_failureShare = blend(m_failureShare, outcome.failed ? 1.0 : 0.0, FailureWeight);
     if (outcome.answered && !outcome.failed) {
         learnLatency(outcome, now);
         const double latency = toSeconds(outcome.headLatency);
+        if (request.pacePercent <= UsualPacePercent && m_pacePercent <= UsualPacePercent) {
+            m_slowdown.answered(route, request.use, outcome.headLatency);
+        }
         const auto known = m_workByRoute.find(route);
         if (known != m_workByRoute.end()) {
             known->second = blend(known->second, latency, RouteWeight);
@@ -418,6 +460,8 @@
     report.latencyUs = static_cast<std::uint32_t>(std::min(m_recentLatency * 1e6, 4e9));
     report.revision = m_policy.revision;
     report.pacePercent = m_pacePercent;
+    report.fullSlowdownPercent
+        = m_policy.learnsLimit ? static_cast<std::uint32_t>(m_slowdown.full() * PercentScale) : 0;
     return report;
 }
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -36,9 +36,8 @@
 constexpr double SlowPhaseSeconds = 0.25;
 /// Extra time at a target in another data centre, in seconds: two ways across and the cost of the bytes.
 constexpr double RemoteSeconds = 0.003;
-/// Growth of the work time from an idle to a full target: work slows down when most slots are taken, as measured on the
-/// stand-in's users' workers (docs/DECISIONS.md).
-constexpr double FullSlowdown = 1.5;
+/// Growth of the work time from an idle to a full target that is assumed where a guard has not told what it learnt.
+constexpr double FullSlowdown = 1.0;
 /// Share of slots up to which work does not slow down.
 constexpr double FreelyUsed = 0.3;
 /// Time that a certain failure costs, in seconds: the try and another one elsewhere.
@@ -212,8 +211,10 @@
     const double ahead = std::max(0.0, estimate + 1 - limit);
     const double failures = std::max(0.0, failureShareOf(entry, now) - averages.failureShare);
     const bool silent = entry.report && now - entry.reportedAt > SilenceBound;
+    const bool told = entry.report && entry.report->fullSlowdownPercent > 0;
+    const double full = told ? entry.report->fullSlowdownPercent / PercentScale - 1 : FullSlowdown;
     const double crowded = std::clamp(((estimate + 1) / limit - FreelyUsed) / (1 - FreelyUsed), 0.0, 1.0);
-    double out = paced * (1 + FullSlowdown * crowded * crowded) + ahead * latency / limit;
+    double out = paced * (1 + full * crowded * crowded) + ahead * latency / limit;
     out += failures * FailureSeconds;
     out += entry.target.dataCentre != m_options.dataCentre ? RemoteSeconds : 0;
     out += silent || limitOf(entry) == 0 ? SilenceSeconds : 0;
