--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -188,8 +188,9 @@
     void start(GuardTicket ticket, const WaitingDetail &detail, TimePoint now);
     bool mayStart(TimePoint now);
     Duration expectedWork(const std::string &route, TimePoint now) const;
-    bool wouldBeLate(const GuardOffer &offer, TimePoint now) const;
+    bool wouldBeLate(const GuardOffer &offer, bool first, TimePoint now) const;
     double useAt(std::size_t running) const;
+    bool ranksFirst(const GuardOffer &offer);
     ServiceRate rate(TimePoint now) const;
     GuardRelease releaseWaiting(TimePoint now);
     GuardRelease refuseAllWaiting();
@@ -210,6 +211,7 @@
     std::map<std::string, double> m_workByRoute; // seconds, average by route
     ColdRate m_coldRate;
     SlowdownModel m_slowdown;
+    std::map<std::string, std::uint32_t> m_priorities; // by route
     TimePoint m_coldUntil;
     TimePoint m_heldUntil;
     std::uint32_t m_pacePercent = 0;
--- a/src/admission/waitingline.cpp
+++ b/src/admission/waitingline.cpp
@@ -31,7 +31,7 @@
 
 bool WaitingLine::isLate(const WaitingRequest &request, TimePoint now)
 {
-    return request.objective != TimePoint::max() && now + request.work > request.objective;
+    return !request.mayBeLate && request.objective != TimePoint::max() && now + request.work > request.objective;
 }
 
 bool WaitingLine::goesBefore(const Place &a, const Place &b, TimePoint now)
@@ -74,7 +74,7 @@
     WaitingAnswer answer;
     answer.expectedWait = waitFor(ahead, rate);
     const TimePoint start = now + answer.expectedWait;
-    const bool inTime = !isLate(request, now);
+    const bool inTime = !request.mayBeLate && !isLate(request, now);
     const TimePoint latest = inTime && request.objective != TimePoint::max()
                                  ? std::min(request.objective - request.work, latestStart(request, now))
                                  : latestStart(request, now);
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -50,6 +50,8 @@
 constexpr Duration StartPatience = std::chrono::milliseconds(2500);
 /// Time for which a stopping node still takes callers: two missed checks of its readiness, a second apart, and a margin.
 constexpr Duration CallerGrace = std::chrono::milliseconds(3200);
+/// Time after which a stopping node refuses new requests: a request taken later might not be done before the kill.
+constexpr Duration IntakeGrace = std::chrono::milliseconds(2800);
 /// Time after which a stopping node refuses work for its target.
 constexpr Duration GuardGrace = std::chrono::milliseconds(2200);
 /// Time before the kill at which a stopping node ends whatever is in progress.
@@ -532,6 +534,9 @@
             co_await sleepFor(GuardTick);
             local.tick();
             tellLoad(false);
+            if (stopping && clock.now() - stopBegun > IntakeGrace) {
+                door.refuseNew();
+            }
             if (stopping && !guardLeft && clock.now() - stopBegun > GuardGrace) {
                 guardLeft = true;
                 local.leaveAll();
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -233,7 +233,8 @@
         answer.refusal = GuardRefusal::Expired;
         return answer;
     }
-    if (wouldBeLate(offer, now)) {
+    const bool first = ranksFirst(offer);
+    if (wouldBeLate(offer, first, now)) {
         answer.refusal = GuardRefusal::TooLate;
         answer.retryAfter = std::max(LeastRetryAfter, expectedWork(offer.route, now) / 2);
         return answer;
@@ -250,7 +251,8 @@
         return answer;
     }
     const WaitingRequest request{offer.ticket,   offer.priority,           offer.objective,
-                                 offer.deadline, now + m_policy.queueWait, expectedWork(offer.route, now)};
+                                 offer.deadline, now + m_policy.queueWait, expectedWork(offer.route, now),
+                                 m_policy.learnsLimit && first};
     const WaitingAnswer waiting = m_waiting.offer(request, rate(now), now);
     if (!waiting.waits) {
         answer.refusal = GuardRefusal::TooLate;
@@ -297,13 +299,26 @@
     return fromSeconds(std::min(crowded * pace, crowded + SlowPhaseSeconds * (1 - 1 / pace)));
 }
 
+/// Returns whether less urgent requests share the target; these make room for it rather than it being turned away.
+bool Guard::ranksFirst(const GuardOffer &offer)
+{
+    if (m_priorities.size() < MaxRoutes || m_priorities.contains(offer.route)) {
+        m_priorities[offer.route] = offer.priority;
+    }
+    const auto lessUrgent = [&](const auto &it) { return it.second > offer.priority; };
+    return std::any_of(m_priorities.begin(), m_priorities.end(), lessUrgent);
+}
+
 /// A target that is busy does not take what it cannot answer in time: the slots are worth more to others, and the caller
 /// can still go elsewhere.
-bool Guard::wouldBeLate(const GuardOffer &offer, TimePoint now) const
+bool Guard::wouldBeLate(const GuardOffer &offer, bool first, TimePoint now) const
 {
     if (!m_policy.learnsLimit || offer.objective == TimePoint::max()) {
         return false;
     }
+    if (first) {
+        return now + expectedWork(offer.route, now) > offer.deadline;
+    }
     const bool busy = m_waiting.size() > 0 || m_running.size() > BusyShare * limit(now);
     return busy && now + expectedWork(offer.route, now) > offer.objective;
 }
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -75,6 +75,11 @@
     m_impl->context.draining = true;
 }
 
+void Door::refuseNew()
+{
+    m_impl->context.refusing = true;
+}
+
 void Door::drain()
 {
     wind();
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -88,6 +88,9 @@
     /// Closes each connection after the answer in progress; new connections are still accepted.
     void wind();
 
+    /// Refuses further requests at once; those in progress are answered.
+    void refuseNew();
+
     /// Accepts no more connections; each open one is closed after the answer in progress.
     void drain();
 
--- a/src/net/doorsession.cpp
+++ b/src/net/doorsession.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint16_t CallerGone = 499;
 constexpr std::uint16_t GatewayTimeout = 504;
 constexpr std::uint16_t ServiceUnavailable = 503;
+/// Time in which a caller finds another node.
+constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 constexpr std::size_t LingerBytes = 1024 * 1024;
 constexpr Duration LingerBound = std::chrono::seconds(1);
 constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -415,6 +417,14 @@
     }
     Source source(*this);
     Sink sink(*this, request->head.requestId);
+    if (m_context.refusing) {
+        ExchangeResult refused;
+        refused.status = ServiceUnavailable;
+        refused.reason = "the node is stopping";
+        refused.retryAfter = StoppingRetryAfter;
+        co_await sink.answerItself(refused, false);
+        co_return false;
+    }
     const ExchangeResult result = co_await dispatch(*request, source, sink);
     if (result.whole) {
         co_return sink.keepsAlive() && source.atEnd();
--- a/src/net/doorsession.h
+++ b/src/net/doorsession.h
@@ -36,6 +36,7 @@
     DoorOptions options;
     Door::Dispatch dispatch;
     std::atomic<bool> draining = false;
+    std::atomic<bool> refusing = false;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> inProgress = 0;
 };
