--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -64,6 +64,7 @@
     TimePoint objective = TimePoint::max(); ///< An answer is wanted by then.
     std::string route{}; ///< Requests of one route take about the same time.
     bool repeats = false; ///< Whether it was sent to another target before.
+    bool lastOffer = false; ///< Whether no other guard will be asked if this one refuses.
 };
 
 /// Why a request was not admitted.
@@ -194,6 +195,7 @@
     ServiceRate rate(TimePoint now) const;
     GuardRelease releaseWaiting(TimePoint now);
     GuardRelease refuseAllWaiting();
+    void learnAbandoned(const Running &request, TimePoint now);
     void learnLatency(const GuardOutcome &outcome, TimePoint now);
     void checkForSlowness(TimePoint now);
     void startRamp(std::uint32_t from, TimePoint now);
--- a/include/shallotrelay/routing/callplan.h
+++ b/include/shallotrelay/routing/callplan.h
@@ -38,6 +38,7 @@
     RouterChoice choice; ///< The target.
     TryReason reason = TryReason::First; ///< Why it is tried.
     bool mayQueue = false; ///< Whether the guard may let it wait.
+    bool lastOffer = false; ///< Whether no other guard will be asked if this one refuses.
 };
 
 /// How a try ended.
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -316,6 +316,7 @@
         RequestHead head = m_request.head;
         head.target = planned.choice.target;
         head.mayQueue = planned.mayQueue;
+        head.lastOffer = planned.lastOffer;
         head.repeats = planned.reason == TryReason::Retry || planned.reason == TryReason::Hedge;
         head.timeLeftMs = toWholeMilliseconds(m_request.deadline - now());
         const bool inTime = m_request.objective != TimePoint::max() && m_request.objective > now();
--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -87,11 +87,8 @@
         GuardedTargetOptions options = m_options.targets;
         options.clock = m_options.clock;
         options.stallTimeout = m_options.stallTimeout;
-        options.onRefusal = [this](GuardRefusal refusal) {
-            m_metrics
-                .counter("shallotrelay_guard_refusals_total", "Refusals by reason", {{"reason", toString(refusal)}})
-                .Increment();
-        };
+        options.onDecision
+            = [this](const RequestHead &request, const GuardDecision &decision) { noteDecision(request, decision); };
         entry.guarded = std::make_shared<GuardedTarget>(options);
         const ClaimOwner self{m_options.peerAddress, announcement.name, m_options.incarnation};
         entry.keyed = std::make_shared<KeyedTarget>(entry.guarded, m_keys, self, *m_options.clock);
@@ -116,6 +113,25 @@
     return changed;
 }
 
+void LocalTargets::noteDecision(const RequestHead &request, const GuardDecision &decision)
+{
+    const bool refused = decision.answer.kind != GuardAnswer::Kind::Admitted;
+    const char *reason = toString(decision.answer.refusal);
+    if (refused) {
+        m_metrics.counter("shallotrelay_guard_refusals_total", "Refusals by reason", {{"reason", reason}}).Increment();
+    }
+    if (!m_log.enabled(LogLevel::Info)) {
+        return;
+    }
+    LogFields line;
+    line.add("request", request.requestId).add("target", request.target).add("route", request.route);
+    line.add("decision", refused ? "refused" : "admitted").add("reason", reason);
+    line.add("waited_ms", toMilliseconds(decision.waited)).add("in_flight", std::uint64_t(decision.load.inFlight));
+    line.add("limit", std::uint64_t(decision.load.limit)).add("queued", std::uint64_t(decision.load.queued));
+    line.add("pace", std::uint64_t(decision.load.pacePercent));
+    m_log.write(LogLevel::Info, "guard", line);
+}
+
 void LocalTargets::remove(const ServiceId &service, const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/daemon/localtargets.h
+++ b/src/daemon/localtargets.h
@@ -83,6 +83,7 @@
         std::shared_ptr<KeyedTarget> keyed;
     };
 
+    void noteDecision(const RequestHead &request, const GuardDecision &decision);
     TargetRecord toRecord(const Entry &entry) const;
     GuardPolicy policyOf(const Entry &entry) const;
     void publish();
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -233,7 +233,7 @@
         answer.refusal = GuardRefusal::Expired;
         return answer;
     }
-    const bool first = ranksFirst(offer);
+    const bool first = ranksFirst(offer) && offer.lastOffer;
     if (wouldBeLate(offer, first, now)) {
         answer.refusal = GuardRefusal::TooLate;
         answer.retryAfter = std::max(LeastRetryAfter, expectedWork(offer.route, now) / 2);
@@ -293,10 +293,11 @@
     if (usual <= 0) {
         return fromSeconds(average);
     }
+    // What its calls take shows in the recent average only.
     const std::size_t running = std::min<std::size_t>(m_running.size() + 1, limit(now));
     const double crowded = usual * m_slowdown.factor(useAt(running));
     const double pace = std::max(1.0, m_pacePercent / PercentScale);
-    return fromSeconds(std::min(crowded * pace, crowded + SlowPhaseSeconds * (1 - 1 / pace)));
+    return fromSeconds(std::max(average, std::min(crowded * pace, crowded + SlowPhaseSeconds * (1 - 1 / pace))));
 }
 
 /// Returns whether less urgent requests share the target; these make room for it rather than it being turned away.
@@ -358,6 +359,9 @@
     const std::string &route = request.route;
     m_running.erase(running);
     m_failureShare = blend(m_failureShare, outcome.failed ? 1.0 : 0.0, FailureWeight);
+    if (!outcome.answered) {
+        learnAbandoned(request, now);
+    }
     if (outcome.answered && !outcome.failed) {
         learnLatency(outcome, now);
         const double latency = toSeconds(outcome.headLatency);
@@ -374,6 +378,16 @@
     return releaseWaiting(now);
 }
 
+/// A request that ended without an answer took at least as long as it ran.
+void Guard::learnAbandoned(const Running &request, TimePoint now)
+{
+    const auto known = m_workByRoute.find(request.route);
+    const double seconds = toSeconds(now - request.start);
+    if (known != m_workByRoute.end() && seconds > known->second) {
+        known->second = blend(known->second, seconds, RouteWeight);
+    }
+}
+
 GuardRelease Guard::tick(TimePoint now)
 {
     checkForSlowness(now);
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -24,6 +24,9 @@
 /// Answers to other requests that are skipped on one connection before it is given up.
 constexpr int MaxSkippedAnswers = 3;
 
+/// A wait that is worth a log line.
+constexpr Duration ToldWait = std::chrono::milliseconds(1);
+
 /// A request that waits for a slot, on the event loop of its timer.
 struct Waiter {
     explicit Waiter(const asio::any_io_executor &executor)
@@ -161,6 +164,7 @@
             offer.priority = head.priority;
             offer.route = head.route;
             offer.repeats = head.repeats;
+            offer.lastOffer = head.lastOffer;
             if (head.objectiveLeftMs > 0) {
                 offer.objective = now + std::chrono::milliseconds(head.objectiveLeftMs);
             }
@@ -639,12 +643,15 @@
     // Holding on to the implementation lets a cancelled exchange outlive this object.
     const std::shared_ptr<Impl> impl = m_impl;
     Slot slot(impl);
+    const TimePoint offered = impl->options.clock->now();
     const GuardAnswer answer = co_await slot.acquire(head, deadline);
+    const Duration waited = impl->options.clock->now() - offered;
     ExchangeResult result;
+    const bool told = answer.kind != GuardAnswer::Kind::Admitted || waited >= ToldWait;
+    if (told && impl->options.onDecision) {
+        impl->options.onDecision(head, {answer, waited, load()});
+    }
     if (answer.kind != GuardAnswer::Kind::Admitted) {
-        if (impl->options.onRefusal) {
-            impl->options.onRefusal(answer.refusal);
-        }
         result = refusalResult(answer);
     } else {
         if (head.bodyKind != BodyKind::None) {
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -32,6 +32,13 @@
     Rejected, ///< It rejected a request.
 };
 
+/// A decision of the guard on one request, with what decided it.
+struct GuardDecision {
+    GuardAnswer answer; ///< What became of the request.
+    Duration waited{}; ///< Time that it waited.
+    LoadReport load; ///< The load after the decision.
+};
+
 /// What a guarded target needs from its node.
 struct GuardedTargetOptions {
     /// Judges the head of an answer; all of them are answers if it is not set.
@@ -49,7 +56,8 @@
     const Clock *clock = nullptr; ///< Tells the time.
     Duration stallTimeout = std::chrono::seconds(20); ///< Time without progress after which a body is given up.
     Duration abandonBound = std::chrono::seconds(60); ///< Longest wait for the target to end cancelled work.
-    std::function<void(const GuardRefusal &)> onRefusal; ///< Called for each request that the guard refuses.
+    /// Called for each request that the guard refuses or lets wait.
+    std::function<void(const RequestHead &request, const GuardDecision &decision)> onDecision;
 };
 
 /// Runs exchanges with one target, never more at once than its guard allows. Safe for use by several threads.
--- a/src/routing/callplan.cpp
+++ b/src/routing/callplan.cpp
@@ -49,6 +49,7 @@
     // Waiting pays only where there is nowhere else to go, or where all targets are thought to be full.
     const bool full = choice->estimatedInFlight >= choice->limit;
     out.mayQueue = m_rules.alwaysQueues || m_offers >= MaxTries || choice->candidates == 1 || full;
+    out.lastOffer = m_offers >= MaxOffers || choice->candidates == 1;
     if (m_retryGranted) {
         out.reason = TryReason::Retry;
         m_rules.belowRetry = true;
