--- a/include/shallotrelay/routing/callplan.h
+++ b/include/shallotrelay/routing/callplan.h
@@ -57,7 +57,7 @@
     bool repeatable = false; ///< Whether it may run more than once.
     bool belowRetry = false; ///< Whether an earlier hop of the call was a retry.
     std::uint32_t maxTargets = MaxTries; ///< Targets that it may be sent to.
-    Duration work{}; ///< Expected time at a target, zero if unknown.
+    RequestCost cost{}; ///< What it is expected to take.
     bool alwaysQueues = false; ///< Whether each guard may let it wait if it can still be in time.
     bool hedges = false; ///< Whether it may be sent to a second target before the first one has failed.
 };
--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -58,6 +58,12 @@
     bool operator==(const RouterTarget &other) const = default;
 };
 
+/// What a request is expected to take; zero where it is not known.
+struct RequestCost {
+    Duration work{}; ///< Time at a target, which helps to weigh a wait against a slow VM.
+    double answerBytes = 0; ///< Bytes of the answer, which helps to weigh a wait against traffic between data centres.
+};
+
 /// The target that was chosen.
 struct RouterChoice {
     std::string target; ///< Its name.
@@ -86,9 +92,8 @@
     void setTargets(const std::vector<RouterTarget> &targets, TimePoint now);
 
     /// Chooses a target that is not excluded, or none if no target may take work.
-    /// The expected work helps to weigh a wait against a slow VM; zero if it is unknown.
     std::optional<RouterChoice> choose(const std::set<std::string> &excluded, TimePoint now, Random &random,
-                                       Duration work = {}) const;
+                                       const RequestCost &cost = {}) const;
 
     /// Notes that a try starts.
     void started(const std::string &target, TimePoint now);
@@ -137,7 +142,7 @@
     double estimateInFlight(const Entry &entry, const Averages &averages, TimePoint now) const;
     double failureShareOf(const Entry &entry, TimePoint now) const;
     double weightOf(const Entry &entry, double estimate, const Averages &averages, TimePoint now) const;
-    double finishTime(const Entry &entry, double estimate, const Averages &averages, Duration work,
+    double finishTime(const Entry &entry, double estimate, const Averages &averages, const RequestCost &cost,
                       TimePoint now) const;
     double paceOf(const Entry &entry, const Averages &averages, TimePoint now) const;
     const Candidate &draw(const std::vector<Candidate> &candidates, Random &random) const;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -72,6 +72,9 @@
         m_output.restored = m_snapshot;
         m_output.restored->data = m_snapshotData;
     }
+    // What was known to be committed is served at once, without waiting for a leader.
+    commitTo(m_hardState.commit);
+    m_output.hardState.reset();
     resetElectionTimer(now);
 }
 
@@ -185,7 +188,7 @@
 void Replica::becomeFollower(std::uint64_t term, TimePoint now)
 {
     if (term > m_hardState.term) {
-        m_hardState = {term, ""};
+        m_hardState = {term, "", m_hardState.commit};
         m_output.hardState = m_hardState;
         m_leader.reset();
     }
@@ -231,7 +234,7 @@
 void Replica::startElection(TimePoint now)
 {
     m_role = ReplicaRole::Candidate;
-    m_hardState = {m_hardState.term + 1, m_options.self.id};
+    m_hardState = {m_hardState.term + 1, m_options.self.id, m_hardState.commit};
     m_output.hardState = m_hardState;
     resetElectionTimer(now);
     m_votes = {{m_options.self.id, true}};
@@ -744,6 +747,10 @@
     while (m_commit < bound) {
         ++m_commit;
         m_output.committed.push_back(entryAt(m_commit));
+        if (entryAt(m_commit).kind == EntryKind::Command) {
+            m_hardState.commit = m_commit;
+            m_output.hardState = m_hardState;
+        }
     }
 }
 
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -62,7 +62,9 @@
 constexpr std::size_t HoldBodyBytes = 64 * 1024;
 /// Part of the shared retries that nodes take; the rest covers what a node cannot count, such as a request that is sent
 /// once more because an idle connection had been closed.
-constexpr double RetryShare = 0.8;
+constexpr double RetryShare = 0.75;
+/// Part of what a cold target may get beyond its stated rate that is used; the rest covers starts that arrive late.
+constexpr double ColdMarginShare = 0.5;
 /// Nodes that are assumed to share the retries as long as fewer are known.
 constexpr std::size_t LeastNodes = 4;
 constexpr double PercentScale = 100;
@@ -287,6 +289,7 @@
         bundle->firm = ClusterFirm;
         for (auto &it : bundle->services) {
             it.second.learnsLimit = true;
+            it.second.coldPerSecond *= 1 + ColdMarginShare * std::max(0.0, options.coldFactor - 1);
             it.second.retryPercent = static_cast<std::uint32_t>(options.retryRatio * RetryShare * PercentScale);
         }
         const RouteTable routes(bundle->routes);
@@ -507,7 +510,10 @@
         }
         const auto before = presence.current();
         if (presence.probed(*probe, options.service, options.target.text())) {
-            log.write(LogLevel::Info, "target-found", LogFields().add("target", probe->id));
+            log.write(LogLevel::Info, "target-found",
+                      LogFields()
+                          .add("target", probe->id)
+                          .add("cold_ms", probe->coldLeft ? toMilliseconds(*probe->coldLeft) : -1.0));
         }
         applyPresence(before, probe->coldLeft);
         if (const auto guarded = guardedTarget(); guarded && probe->pacePercent > 0) {
--- a/src/daemon/clusternode.h
+++ b/src/daemon/clusternode.h
@@ -54,6 +54,7 @@
         std::vector<Address> seeds; ///< Where nodes find control VMs at the start.
         double retryRatio = 0; ///< Retries that all nodes share, as a share of a service's requests.
         double retrySlack = 0; ///< Retries that all nodes share beyond that share.
+        double coldFactor = 1; ///< Starts a second that a cold target may get at most, relative to what its service states.
         Duration grace{}; ///< Time between the stop signal and the kill.
         std::uint64_t seed = 0; ///< Seed of the random generator.
     };
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration NoTargetRetryAfter = std::chrono::seconds(1);
 constexpr std::uint16_t BadGateway = 502;
+/// Share of one answer in the average size of its route; about the last twenty count.
+constexpr double BytesWeight = 0.05;
 /// Time between looks at the pace of the VM that runs a request; a small part of the shortest slow phase.
 constexpr Duration PaceLook = std::chrono::milliseconds(12);
 constexpr std::uint16_t ServiceUnavailable = 503;
@@ -158,7 +160,7 @@
                 result = co_await runAtOwner(result);
             }
             if (result.whole) {
-                logAnswer(result, m_request.head.target, begun);
+                noteAnswer(result, m_request.head.target, begun);
                 co_return result;
             }
             if (!goesOn(result)) {
@@ -213,7 +215,7 @@
             }
             mayHedge = false;
             if (attempt->result.whole) {
-                logAnswer(attempt->result, attempt->head.target, begun);
+                noteAnswer(attempt->result, attempt->head.target, begun);
                 co_return attempt->result;
             }
             if (race->running() > 0) {
@@ -338,7 +340,9 @@
         const std::lock_guard lock(shard.mutex);
         rules.hedges = dispatcher.m_options.hedges;
         const auto timer = shard.timers.find(request.head.route);
-        rules.work = timer == shard.timers.end() ? Duration::zero() : timer->second.usual();
+        rules.cost.work = timer == shard.timers.end() ? Duration::zero() : timer->second.usual();
+        const auto bytes = shard.answerBytes.find(request.head.route);
+        rules.cost.answerBytes = bytes == shard.answerBytes.end() ? 0 : bytes->second;
         return rules;
     }
 
@@ -422,8 +426,16 @@
         return end;
     }
 
-    void logAnswer(const ExchangeResult &result, const std::string &target, TimePoint begun)
+    void learnBytes(const ExchangeResult &result)
     {
+        const std::lock_guard lock(m_shard->mutex);
+        double &average = m_shard->answerBytes[m_request.head.route];
+        average += (static_cast<double>(result.answerBytes) - average) * (average > 0 ? BytesWeight : 1);
+    }
+
+    void noteAnswer(const ExchangeResult &result, const std::string &target, TimePoint begun)
+    {
+        learnBytes(result);
         if (!m_dispatcher.m_log.enabled(LogLevel::Info)) {
             return;
         }
--- a/src/daemon/servicetable.h
+++ b/src/daemon/servicetable.h
@@ -39,6 +39,7 @@
     Random random; ///< What the router draws from.
     std::map<std::string, TargetRecord> records; ///< The announced targets by name.
     std::map<std::string, HedgeTimer> timers; ///< How long requests take, by route.
+    std::map<std::string, double> answerBytes; ///< Average bytes of an answer, by route.
 };
 
 /// A bundle that a node applies.
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -82,6 +82,7 @@
     bool reported = false; ///< Whether load holds a report of the guard.
     LoadReport load; ///< The last report of the guard.
     Duration headLatency{}; ///< Time until the head of the answer came.
+    std::uint64_t answerBytes = 0; ///< Bytes of the answer's body.
 };
 
 /// Carries out exchanges.
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -499,6 +499,7 @@
                 continue;
             }
             more = connection.answerDone();
+            m_result.answerBytes += part->size();
             status = co_await m_sink.chunk(*std::move(part), more ? Flush::WithNext : Flush::Now);
             if (!status.ok()) {
                 co_return status;
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -202,6 +202,7 @@
         if (!m_progress.answerStarted) {
             co_return absl::InvalidArgumentError("the other node sent a body before its head");
         }
+        m_result.answerBytes += chunk->data.size();
         co_return co_await m_sink.chunk(std::move(chunk->data), flush);
     }
 
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -11,6 +11,8 @@
 constexpr double DefaultBurst = 20;
 /// Part of the burst that is left to requests that have failed.
 constexpr double HedgeReserve = 0.25;
+/// Most retries that are owed after charges, in bursts; more is forgotten.
+constexpr double DebtBursts = 20;
 /// Retries that a service has from its first request on.
 constexpr double InitialRetries = 3;
 
@@ -49,7 +51,7 @@
 
 void RetryBudget::charge(double retries)
 {
-    m_saved = std::max(-m_burst, m_saved - retries);
+    m_saved = std::max(-DebtBursts * m_burst, m_saved - retries);
 }
 
 bool RetryBudget::takeHedge()
--- a/src/routing/callplan.cpp
+++ b/src/routing/callplan.cpp
@@ -37,7 +37,7 @@
     if (m_offers == 0) {
         budget.firstTry();
     }
-    const auto choice = router.choose(m_excluded, now, random, m_rules.work);
+    const auto choice = router.choose(m_excluded, now, random, m_rules.cost);
     if (!choice) {
         return std::nullopt;
     }
@@ -65,7 +65,7 @@
     if (!m_rules.hedges || !m_rules.repeatable || m_rules.belowRetry || m_targets + 1 >= m_rules.maxTargets) {
         return std::nullopt;
     }
-    const auto choice = router.choose(m_excluded, now, random, m_rules.work);
+    const auto choice = router.choose(m_excluded, now, random, m_rules.cost);
     const bool busy = !choice || choice->estimatedInFlight + 1 > HedgeUtilisation * choice->limit;
     if (busy || !budget.takeHedge()) {
         return std::nullopt;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -34,8 +34,10 @@
 constexpr double PaceMemorySeconds = 0.1;
 /// Longest slow phase that is expected, in seconds: work that outlasts it goes on at the usual pace.
 constexpr double SlowPhaseSeconds = 0.25;
-/// Extra time at a target in another data centre, in seconds: two ways across and the cost of the bytes.
+/// Extra time at a target in another data centre, in seconds: two ways across.
 constexpr double RemoteSeconds = 0.003;
+/// Weighs bytes between data centres, which are paid for, against the time of callers.
+constexpr double RemoteBytesPerSecond = 1.5e6;
 /// Growth of the work time from an idle to a full target that is assumed where a guard has not told what it learnt.
 constexpr double FullSlowdown = 1.0;
 /// Share of slots up to which work does not slow down.
@@ -199,11 +201,11 @@
 }
 
 /// Returns the expected time from now until the target has finished the work, in seconds.
-double ServiceRouter::finishTime(const Entry &entry, double estimate, const Averages &averages, Duration work,
-                                 TimePoint now) const
+double ServiceRouter::finishTime(const Entry &entry, double estimate, const Averages &averages,
+                                 const RequestCost &cost, TimePoint now) const
 {
     const double limit = std::max<double>(1, limitOf(entry));
-    const double known = work > Duration::zero() ? toSeconds(work) : averages.latency;
+    const double known = cost.work > Duration::zero() ? toSeconds(cost.work) : averages.latency;
     const double usual = std::max(known, LeastWorkSeconds);
     const double pace = paceOf(entry, averages, now);
     const double paced = std::min(usual * pace, usual + SlowPhaseSeconds * std::max(0.0, 1 - 1 / pace));
@@ -216,13 +218,15 @@
     const double crowded = std::clamp(((estimate + 1) / limit - FreelyUsed) / (1 - FreelyUsed), 0.0, 1.0);
     double out = paced * (1 + full * crowded * crowded) + ahead * latency / limit;
     out += failures * FailureSeconds;
-    out += entry.target.dataCentre != m_options.dataCentre ? RemoteSeconds : 0;
+    if (entry.target.dataCentre != m_options.dataCentre) {
+        out += RemoteSeconds + cost.answerBytes / RemoteBytesPerSecond;
+    }
     out += silent || limitOf(entry) == 0 ? SilenceSeconds : 0;
     return out;
 }
 
 std::optional<RouterChoice> ServiceRouter::choose(const std::set<std::string> &excluded, TimePoint now,
-                                                  Random &random, Duration work) const
+                                                  Random &random, const RequestCost &cost) const
 {
     const Averages all = averages(now);
     std::vector<Candidate> candidates;
@@ -232,7 +236,7 @@
         }
         const double estimate = estimateInFlight(it.second, all, now);
         const bool earliest = m_options.strategy == RoutingStrategy::EarliestFinish;
-        const double weight = earliest ? -finishTime(it.second, estimate, all, work, now) * (1 + Jitter * randomFraction(random))
+        const double weight = earliest ? -finishTime(it.second, estimate, all, cost, now) * (1 + Jitter * randomFraction(random))
                                        : weightOf(it.second, estimate, all, now);
         candidates.push_back({&it.second, weight, estimate});
     }
--- a/tests/unit/hedgetest.cpp
+++ b/tests/unit/hedgetest.cpp
@@ -70,9 +70,9 @@
     router.reported("t2", loadOf(11, 100), at(1s));
     router.reported("t3", loadOf(3, 100), at(1s));
     for (int i = 0; i < 50; ++i) {
-        CHECK(router.choose({}, at(1s), random, 80ms)->target == "t3");
+        CHECK(router.choose({}, at(1s), random, {80ms})->target == "t3");
     }
-    CHECK(router.choose({"t3"}, at(1s), random, 80ms)->target == "t2");
+    CHECK(router.choose({"t3"}, at(1s), random, {80ms})->target == "t2");
     CHECK(router.paceSince("t1", at(900ms)) == 500);
     CHECK(router.paceSince("t1", at(1s)) == 0);
 }
@@ -85,7 +85,7 @@
     router.reported("t2", loadOf(6, 100), at(3s));
     router.reported("t3", loadOf(6, 100), at(3s));
     for (int i = 0; i < 20; ++i) {
-        CHECK(router.choose({}, at(3s), random, 80ms)->target != "t1");
+        CHECK(router.choose({}, at(3s), random, {80ms})->target != "t1");
     }
 }
 
@@ -134,8 +134,8 @@
         budget.firstTry();
         ++tries;
     }
-    CHECK(tries >= 30);
-    CHECK(tries <= 31);
+    CHECK(tries >= 40);
+    CHECK(tries <= 41);
 }
 
 TEST_CASE("A rejection by a target costs the budget, a refusal by a guard does not")
--- a/tests/unit/platformwiretest.cpp
+++ b/tests/unit/platformwiretest.cpp
@@ -150,6 +150,7 @@
     CHECK(probe->pacePercent == 200);
     CHECK(probe->coldLeft == Duration(750ms));
     CHECK_FALSE(parseProbe({}).ok());
+    CHECK(parseProbe({{"Shallotrelay-Instance-Id", "i-1"}})->coldLeft == Duration::zero());
 }
 
 TEST_CASE("A state becomes a bundle with routes, services and data centres")
