Guards use all slots of a target; the learnt slowdown serves placement and expectations only

A limit below the slots, learnt from answers, lost throughput, since a request that waits for its call holds a slot without work. The lower limits are reverted.

--- a/include/shallotrelay/bundle/bundle.h
+++ b/include/shallotrelay/bundle/bundle.h
@@ -46,7 +46,7 @@
     std::uint32_t retryPercent = 0; ///< Retries in percent of first tries.
     std::string healthPath; ///< Path at which a target tells its health; empty if it has none.
     double coldPerSecond = 0; ///< Requests a second for a target in cold start; 0 means no bound.
-    bool learnsLimit = false; ///< Whether a guard admits fewer at once than the slots where its target serves better so.
+    bool refusesLate = false; ///< Whether a busy target refuses what it cannot answer within the objective.
     Duration coldTime{}; ///< Time that a target stays cold if it does not tell.
 
     bool operator==(const ServicePolicy &other) const = default;
--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -40,7 +40,7 @@
     Duration queueWait{}; ///< Longest time that a request waits.
     std::uint64_t revision = 0; ///< Revision of the bundle.
     double coldPerSecond = 0; ///< Starts a second in cold start; 0 means no bound.
-    bool learnsLimit = false; ///< Whether the guard admits fewer at once than the slots where the target serves better so.
+    bool refusesLate = false; ///< Whether a busy target refuses what it cannot answer within the objective.
     Duration coldTime{}; ///< Time that a restarted target stays cold unless it tells otherwise.
 
     bool operator==(const GuardPolicy &other) const = default;
--- a/include/shallotrelay/limits/slowdown.h
+++ b/include/shallotrelay/limits/slowdown.h
@@ -1,8 +1,7 @@
-/// How much a target slows down as its slots fill up, and how many requests at once serve it best.
+/// How much a target slows down as its slots fill up.
 ///
-/// The load pattern: near its full number of slots a target works on each request so much more slowly that it finishes no
-/// more of them in all, and every one of them takes longer. Below the best number, more requests at once finish sooner
-/// than they would by waiting.
+/// The load pattern: near its full number of slots a target takes longer for each request, so a request is better placed
+/// at a target that is less full, and what a full target can still answer in time is less than its usual time suggests.
 ///
 /// The model compares the time of each answer with the usual time of its route at a lightly used target. It fits one
 /// number, the factor at full use; between light and full use the factor grows with the square of the use.
@@ -31,9 +30,6 @@
     /// Returns by which factor work takes longer at a share of slots taken.
     double factor(double use) const;
 
-    /// Returns the number of requests at once, of so many slots, at which the target serves best.
-    std::uint32_t bestLimit(std::uint32_t slots) const;
-
     /// Returns the factor at full use.
     double full() const;
 
--- a/src/bundle/bundle.cpp
+++ b/src/bundle/bundle.cpp
@@ -186,7 +186,7 @@
     readQueue(reader.objectOr("queue"), reader.pathOf("queue"), &policy, status);
     readTargetBounds(reader.objectOr("targets"), reader.pathOf("targets"), &policy, status);
     policy.healthPath = reader.textOr("health_path", "");
-    policy.learnsLimit = reader.numberOr("learns_limit", 0, 0, 1) == 1;
+    policy.refusesLate = reader.numberOr("refuses_late", 0, 0, 1) == 1;
     policy.retryPercent = static_cast<std::uint32_t>(reader.numberOr("retry_percent", DefaultRetryPercent, 0, 100));
     reader.refuseOthers();
     return policy;
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -288,7 +288,7 @@
         }
         bundle->firm = ClusterFirm;
         for (auto &it : bundle->services) {
-            it.second.learnsLimit = true;
+            it.second.refusesLate = true;
             it.second.coldPerSecond *= 1 + ColdMarginShare * std::max(0.0, options.coldFactor - 1);
             it.second.retryPercent = static_cast<std::uint32_t>(options.retryRatio * RetryShare * PercentScale);
         }
--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -266,7 +266,7 @@
     policy.queueWait = found->queueWait;
     policy.coldPerSecond = found->coldPerSecond;
     policy.coldTime = found->coldTime;
-    policy.learnsLimit = found->learnsLimit;
+    policy.refusesLate = found->refusesLate;
     return policy;
 }
 
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -211,8 +211,7 @@
     if (standingRefusal() != GuardRefusal::None || now < m_heldUntil) {
         return 0;
     }
-    const std::uint32_t full = rampLimit(now);
-    const std::uint32_t ramp = m_policy.learnsLimit ? std::min(full, m_slowdown.bestLimit(fullLimit())) : full;
+    const std::uint32_t ramp = rampLimit(now);
     return m_slow ? std::min(ramp, m_slowLimit) : ramp;
 }
 
@@ -252,7 +251,7 @@
     }
     const WaitingRequest request{offer.ticket,   offer.priority,           offer.objective,
                                  offer.deadline, now + m_policy.queueWait, expectedWork(offer.route, now),
-                                 m_policy.learnsLimit && first};
+                                 m_policy.refusesLate && first};
     const WaitingAnswer waiting = m_waiting.offer(request, rate(now), now);
     if (!waiting.waits) {
         answer.refusal = GuardRefusal::TooLate;
@@ -289,7 +288,7 @@
 {
     const auto it = m_workByRoute.find(route);
     const double average = it == m_workByRoute.end() ? m_recentLatency : it->second;
-    const double usual = m_policy.learnsLimit ? toSeconds(m_slowdown.usual(route)) : 0;
+    const double usual = m_policy.refusesLate ? toSeconds(m_slowdown.usual(route)) : 0;
     if (usual <= 0) {
         return fromSeconds(average);
     }
@@ -314,7 +313,7 @@
 /// can still go elsewhere.
 bool Guard::wouldBeLate(const GuardOffer &offer, bool first, TimePoint now) const
 {
-    if (!m_policy.learnsLimit || offer.objective == TimePoint::max()) {
+    if (!m_policy.refusesLate || offer.objective == TimePoint::max()) {
         return false;
     }
     if (first) {
@@ -490,7 +489,7 @@
     report.revision = m_policy.revision;
     report.pacePercent = m_pacePercent;
     report.fullSlowdownPercent
-        = m_policy.learnsLimit ? static_cast<std::uint32_t>(m_slowdown.full() * PercentScale) : 0;
+        = m_policy.refusesLate ? static_cast<std::uint32_t>(m_slowdown.full() * PercentScale) : 0;
     return report;
 }
 
--- a/src/limits/slowdown.cpp
+++ b/src/limits/slowdown.cpp
@@ -19,10 +19,6 @@
 constexpr double FirstWeight = 0.02;
 /// Greatest slowdown that one answer counts as; a single stuck request says little about crowding.
 constexpr double MostSlowdown = 4;
-/// The smallest number of requests within this share of the best throughput is taken, since it answers sooner.
-constexpr double GoodEnough = 0.03;
-/// Share of the slots that are always used.
-constexpr double LeastUse = 0.5;
 /// Routes whose usual time is remembered.
 constexpr std::size_t MaxRoutes = 1024;
 
@@ -73,19 +69,4 @@
     return 1 + (full() - 1) * crowding(use);
 }
 
-std::uint32_t SlowdownModel::bestLimit(std::uint32_t slots) const
-{
-    double best = 0;
-    for (std::uint32_t n = 1; n <= slots; ++n) {
-        best = std::max(best, n / factor(static_cast<double>(n) / slots));
-    }
-    const auto least = static_cast<std::uint32_t>(std::ceil(LeastUse * slots));
-    for (std::uint32_t n = std::max(1U, least); n < slots; ++n) {
-        if (n / factor(static_cast<double>(n) / slots) >= best * (1 - GoodEnough)) {
-            return n;
-        }
-    }
-    return slots;
-}
-
 }
