--- a/include/shallotrelay/admission/waitingline.h
+++ b/include/shallotrelay/admission/waitingline.h
@@ -5,7 +5,8 @@
 ///   so when it arrives, while its caller can still go elsewhere or come back, instead of after a wait.
 /// - A retry storm brings mostly requests whose objective has nearly passed. They do not delay requests that can still
 ///   be answered in time: what is late waits behind all that is in time.
-/// - Calls that a target makes while it runs a request fail that request when they are turned away, and its work is lost.
+/// - Calls that a target makes while it runs a request fail that request when they are turned away, and its work is
+/// lost.
 ///   They rank before what is less urgent, and are taken in as long as they can finish before their deadline.
 /// - A slow phase of a VM lasts a fraction of a second and makes all that waits late at once. What is late is still
 ///   served before its deadline when slots are left over, and is refused as soon as that cannot be expected.
--- a/include/shallotrelay/consensus/replica.h
+++ b/include/shallotrelay/consensus/replica.h
@@ -1,17 +1,17 @@
 /// One replica of the replicated log: elections, replication, membership and confirmed reads, after Raft.
 ///
-/// Use it for state that must survive the loss of some VMs. The replica does no I/O and reads no clock. Feed it messages
-/// and the time, then take() what is to be done, in this order: send the messages of `now`, store what is to be stored
-/// and sync it, call stored(), send the messages of `afterSync`, and apply the committed entries.
+/// Use it for state that must survive the loss of some VMs. The replica does no I/O and reads no clock. Feed it
+/// messages and the time, then take() what is to be done, in this order: send the messages of `now`, store what is to
+/// be stored and sync it, call stored(), send the messages of `afterSync`, and apply the committed entries.
 ///
 ///     Replica replica(options, recovered, random, now);
 ///     replica.receive(message, now);
 ///     ReplicaOutput output = replica.take();
 ///
-/// Changes of the voters follow the one-at-a-time rule of the Raft dissertation (section 4.1): a replica asks to join, is
-/// brought up to date, and becomes a voter; a voter whose address shows up under another identity has lost its disk and
-/// is removed first; a voter that has been silent is removed when a replica waits to take its place, and after a long
-/// silence in any case, since it may have been replaced at another address.
+/// Changes of the voters follow the one-at-a-time rule of the Raft dissertation (section 4.1): a replica asks to join,
+/// is brought up to date, and becomes a voter; a voter whose address shows up under another identity has lost its disk
+/// and is removed first; a voter that has been silent is removed when a replica waits to take its place, and after a
+/// long silence in any case, since it may have been replaced at another address.
 #pragma once
 
 #include "shallotrelay/base/clock.h"
--- a/include/shallotrelay/limits/slowdown.h
+++ b/include/shallotrelay/limits/slowdown.h
@@ -1,7 +1,8 @@
 /// How much a target slows down as its slots fill up.
 ///
-/// The load pattern: near its full number of slots a target takes longer for each request, so a request is better placed
-/// at a target that is less full, and what a full target can still answer in time is less than its usual time suggests.
+/// The load pattern: near its full number of slots a target takes longer for each request, so a request is better
+/// placed at a target that is less full, and what a full target can still answer in time is less than its usual time
+/// suggests.
 ///
 /// The model compares the time of each answer with the usual time of its route at a lightly used target. It fits one
 /// number, the factor at full use; between light and full use the factor grows with the square of the use.
--- a/include/shallotrelay/retry/hedge.h
+++ b/include/shallotrelay/retry/hedge.h
@@ -1,8 +1,8 @@
 /// When a request that has no answer yet is sent to a second target as well.
 ///
-/// The load pattern: single VMs turn several times slower for a fraction of a second, so a few requests in a hundred take
-/// far longer than the rest while most targets are idle. A second try of just these requests is worth its work if it can
-/// still finish within the objective; sending more of them would only add load.
+/// The load pattern: single VMs turn several times slower for a fraction of a second, so a few requests in a hundred
+/// take far longer than the rest while most targets are idle. A second try of just these requests is worth its work if
+/// it can still finish within the objective; sending more of them would only add load.
 #pragma once
 
 #include "shallotrelay/base/clock.h"
@@ -20,9 +20,9 @@
     /// Returns the time after which a second try starts; the objective is zero if there is none.
     Duration delay(Duration objective) const;
 
-    /// Returns whether a request is to be sent to a second target at once because the VM of the first one has turned slow:
-    /// it would miss its objective there, and can still meet it elsewhere. The pace is the time that work takes there
-    /// relative to the usual time; the objective is zero if there is none.
+    /// Returns whether a request is to be sent to a second target at once because the VM of the first one has turned
+    /// slow: it would miss its objective there, and can still meet it elsewhere. The pace is the time that work takes
+    /// there relative to the usual time; the objective is zero if there is none.
     bool slowedDown(Duration elapsed, Duration objective, double pace) const;
 
     /// Returns the average time until the answer, zero before the first one.
--- a/include/shallotrelay/retry/retry.h
+++ b/include/shallotrelay/retry/retry.h
@@ -1,9 +1,9 @@
 /// Retries: what may be tried again, and how often.
 ///
 /// A refusal that proves that the request did not run may be tried at another target; if the request was sent to the
-/// target that rejected it, the new try comes out of the budget of its service, since it is work for the targets, too. A
-/// request that may have run is tried again only if it is repeatable, only within the budget, and only if no earlier hop
-/// of the same call was itself a retry.
+/// target that rejected it, the new try comes out of the budget of its service, since it is work for the targets, too.
+/// A request that may have run is tried again only if it is repeatable, only within the budget, and only if no earlier
+/// hop of the same call was itself a retry.
 #pragma once
 
 #include "shallotrelay/base/clock.h"
--- a/include/shallotrelay/storage/replicalog.h
+++ b/include/shallotrelay/storage/replicalog.h
@@ -1,8 +1,8 @@
 /// The file of a replica: its identity, term and vote, snapshot and entries.
 ///
-/// Records are appended and synced in batches, one batch at a time, so that after a loss of power only the last batch is
-/// in doubt: everything up to the first damaged record is good, and what follows was never reported as synced. A write
-/// that fails leaves the file as it was before, so that the batch can be tried again once the disk takes writes.
+/// Records are appended and synced in batches, one batch at a time, so that after a loss of power only the last batch
+/// is in doubt: everything up to the first damaged record is good, and what follows was never reported as synced. A
+/// write that fails leaves the file as it was before, so that the batch can be tried again once the disk takes writes.
 #pragma once
 
 #include "shallotrelay/consensus/replica.h"
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -29,11 +29,14 @@
 {
     using namespace shallotrelay;
     using Command = int (*)(const Arguments &);
-    const std::map<std::string, Command> commands
-        = {{"node", runNodeCommand},     {"control", runControlCommand}, {"bundle", runBundleCommand},
-           {"target", runTargetCommand}, {"load", runLoadCommand},       {"demo", runDemoCommand},
-           {"platform-node", platform::runNodeCommand},
-           {"platform-control", platform::runControlCommand}};
+    const std::map<std::string, Command> commands = {{"node", runNodeCommand},
+                                                     {"control", runControlCommand},
+                                                     {"bundle", runBundleCommand},
+                                                     {"target", runTargetCommand},
+                                                     {"load", runLoadCommand},
+                                                     {"demo", runDemoCommand},
+                                                     {"platform-node", platform::runNodeCommand},
+                                                     {"platform-control", platform::runControlCommand}};
     Arguments args(argv + 1, argv + argc);
     const std::string first = args.empty() ? "" : args.front();
     if (first == "--version") {
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -11,7 +11,8 @@
 
 /// Time before a snapshot that got no reply is sent again; it covers the transfer of the largest frame on a slow link.
 constexpr Duration SnapshotRetry = std::chrono::milliseconds(1000);
-/// A replica that wants to join and has been silent for this long is forgotten; it asks again each 200 ms while it runs.
+/// A replica that wants to join and has been silent for this long is forgotten; it asks again each 200 ms while it
+/// runs.
 constexpr Duration JoinMemory = std::chrono::milliseconds(1000);
 
 std::string payloadOf(const std::string &frame)
@@ -182,7 +183,8 @@
 void Replica::resetElectionTimer(TimePoint now)
 {
     const auto spread = static_cast<double>((m_options.electionHigh - m_options.electionLow).count());
-    m_electionDue = now + m_options.electionLow + Duration(static_cast<Duration::rep>(spread * randomFraction(m_random)));
+    m_electionDue
+        = now + m_options.electionLow + Duration(static_cast<Duration::rep>(spread * randomFraction(m_random)));
 }
 
 void Replica::becomeFollower(std::uint64_t term, TimePoint now)
@@ -567,8 +569,9 @@
     const LogPosition own = last();
     const bool upToDate = in.logTerm > own.term || (in.logTerm == own.term && in.index >= own.index);
     const bool leaderAlive = m_role == ReplicaRole::Leader || (m_leader && now - m_leaderHeard < m_options.electionLow);
-    const bool mayVote = preVote ? in.term > m_hardState.term
-                                 : in.term == m_hardState.term && (m_hardState.vote.empty() || m_hardState.vote == in.from);
+    const bool mayVote = preVote
+                             ? in.term > m_hardState.term
+                             : in.term == m_hardState.term && (m_hardState.vote.empty() || m_hardState.vote == in.from);
     ConsensusMessage out = message(preVote ? ConsensusKind::PreVoteReply : ConsensusKind::VoteReply, in.from);
     out.granted = upToDate && mayVote && !leaderAlive && isVoter();
     if (preVote && out.granted) {
--- a/src/daemon/clustercontrol.cpp
+++ b/src/daemon/clustercontrol.cpp
@@ -42,8 +42,7 @@
         , log(l)
         , nodes(r, c, {NodeLease, NodeHeartbeat, MaxConnections}, nodeHooks())
         , store(r, c, storeOptions(), l, metrics)
-        , operators(r, MaxOrderBytes,
-                    [this](HttpRequest request) { return onOrder(store, std::move(request)); })
+        , operators(r, MaxOrderBytes, [this](HttpRequest request) { return onOrder(store, std::move(request)); })
         , metricsServer(r, MaxMetricsBytes, [this](HttpRequest request) { return serveMetrics(std::move(request)); })
     {
     }
@@ -74,9 +73,8 @@
     NodeSessions::Hooks nodeHooks()
     {
         NodeSessions::Hooks hooks;
-        hooks.takeFrame = [this](FrameStream &, NodeSession &session, const Frame &frame) {
-            return takeFrame(session, frame);
-        };
+        hooks.takeFrame
+            = [this](FrameStream &, NodeSession &session, const Frame &frame) { return takeFrame(session, frame); };
         hooks.queueNews = [this](FrameStream &stream, NodeSession &session) { return queueNews(stream, session); };
         return hooks;
     }
@@ -143,12 +141,9 @@
             co_return HttpReply{404, "text/plain", "not found\n"};
         }
         const ControlView view = store.view();
-        const nlohmann::ordered_json json = {{"in_touch", view.current},
-                                             {"revision", view.revision},
-                                             {"version", store.ledger().version()},
-                                             {"voters", view.addresses},
-                                             {"nodes", nodes.reports().size()},
-                                             {"targets", nodes.targets()}};
+        const nlohmann::ordered_json json
+            = {{"in_touch", view.current}, {"revision", view.revision},       {"version", store.ledger().version()},
+               {"voters", view.addresses}, {"nodes", nodes.reports().size()}, {"targets", nodes.targets()}};
         co_return HttpReply{200, "application/json", json.dump(2) + "\n"};
     }
 };
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -48,7 +48,8 @@
 constexpr Duration AbandonedLinger = std::chrono::milliseconds(20);
 /// Time for which a target that was not heard of keeps a starting node from being ready.
 constexpr Duration StartPatience = std::chrono::milliseconds(2500);
-/// Time for which a stopping node still takes callers: two missed checks of its readiness, a second apart, and a margin.
+/// Time for which a stopping node still takes callers: two missed checks of its readiness, a second apart, and a
+/// margin.
 constexpr Duration CallerGrace = std::chrono::milliseconds(3200);
 /// Time after which a stopping node refuses new requests: a request taken later might not be done before the kill.
 constexpr Duration IntakeGrace = std::chrono::milliseconds(2800);
@@ -256,8 +257,8 @@
         return absl::OkStatus();
     }
 
-    /// Requests that begin here may be calls of the target beside this node. The share that belongs to repeated runs counts
-    /// as repeats at the service that is called.
+    /// Requests that begin here may be calls of the target beside this node. The share that belongs to repeated runs
+    /// counts as repeats at the service that is called.
     void chargeCalls(const RequestHead &head)
     {
         const auto guarded = guardedTarget();
@@ -282,8 +283,9 @@
         }
         auto bundle = hooks.parseIntent(update);
         if (!bundle.ok()) {
-            log.write(LogLevel::Error, "intent",
-                      LogFields().add("revision", update.revision).add("error", std::string(bundle.status().message())));
+            log.write(
+                LogLevel::Error, "intent",
+                LogFields().add("revision", update.revision).add("error", std::string(bundle.status().message())));
             return;
         }
         bundle->firm = ClusterFirm;
@@ -496,8 +498,7 @@
     {
         if (!probe.ok()) {
             if (!unreachable) {
-                log.write(LogLevel::Warn, "probe",
-                          LogFields().add("error", std::string(probe.status().message())));
+                log.write(LogLevel::Warn, "probe", LogFields().add("error", std::string(probe.status().message())));
             }
             return;
         }
@@ -624,9 +625,8 @@
                       .add("service", options.service)
                       .add("incarnation", incarnation)
                       .add("links", "unauthenticated"));
-        for (const absl::Status &status :
-             {peers.start(options.peerListen), beacons.start(options.peerListen), door.start(options.listen),
-              metricsServer.start(options.metricsListen)}) {
+        for (const absl::Status &status : {peers.start(options.peerListen), beacons.start(options.peerListen),
+                                           door.start(options.listen), metricsServer.start(options.metricsListen)}) {
             if (!status.ok()) {
                 return status;
             }
--- a/src/daemon/clusternode.h
+++ b/src/daemon/clusternode.h
@@ -1,5 +1,5 @@
-/// A node of a cluster: door for callers, router, and guard of the one target beside it, with the state that control VMs
-/// hold together.
+/// A node of a cluster: door for callers, router, and guard of the one target beside it, with the state that control
+/// VMs hold together.
 ///
 /// How callers, the target and the operators' state are spoken of is left to hooks; an adapter fills them in.
 #pragma once
@@ -54,7 +54,8 @@
         std::vector<Address> seeds; ///< Where nodes find control VMs at the start.
         double retryRatio = 0; ///< Retries that all nodes share, as a share of a service's requests.
         double retrySlack = 0; ///< Retries that all nodes share beyond that share.
-        double coldFactor = 1; ///< Starts a second that a cold target may get at most, relative to what its service states.
+        double coldFactor
+            = 1; ///< Starts a second that a cold target may get at most, relative to what its service states.
         Duration grace{}; ///< Time between the stop signal and the kill.
         std::uint64_t seed = 0; ///< Seed of the random generator.
     };
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -64,9 +64,8 @@
     NodeSessions::Hooks nodeHooks()
     {
         NodeSessions::Hooks hooks;
-        hooks.takeFrame = [this](FrameStream &stream, NodeSession &, const Frame &frame) {
-            return takeFrame(stream, frame);
-        };
+        hooks.takeFrame
+            = [this](FrameStream &stream, NodeSession &, const Frame &frame) { return takeFrame(stream, frame); };
         hooks.queueNews = [this](FrameStream &stream, NodeSession &session) {
             queueBundles(stream, session);
             return Duration::zero();
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -411,7 +411,8 @@
     bool goesOn(const ExchangeResult &result)
     {
         const std::lock_guard lock(m_shard->mutex);
-        return m_plan.goesOn(endOf(result.execution, result.reachedTarget, result.status), m_shard->router, m_shard->budget);
+        return m_plan.goesOn(endOf(result.execution, result.reachedTarget, result.status), m_shard->router,
+                             m_shard->budget);
     }
 
     TryEnd endOf(Execution execution, bool reachedTarget, std::uint16_t status) const
@@ -487,7 +488,8 @@
     , m_log(log)
     , m_requests(metrics.counter("shallotrelay_requests_total", "Requests of callers"))
     , m_retries(metrics.counter("shallotrelay_retries_total", "Requests that were run once more"))
-    , m_hedges(metrics.counter("shallotrelay_hedges_total", "Requests that were sent to a second target while they ran"))
+    , m_hedges(
+          metrics.counter("shallotrelay_hedges_total", "Requests that were sent to a second target while they ran"))
     , m_givenUp(metrics.counter("shallotrelay_given_up_total", "Requests without a whole answer of a target"))
     , m_headLatency(metrics.seconds("shallotrelay_head_seconds", "Time from a try to the head of its answer"))
 {
@@ -524,8 +526,7 @@
     auto &link = m_links[record.peerAddress];
     if (!link) {
         const auto address = parseAddress(record.peerAddress);
-        link = std::make_shared<PeerLink>(address.value_or(Address{"127.0.0.1", 0}), *m_options.clock,
-                                          m_options.peers);
+        link = std::make_shared<PeerLink>(address.value_or(Address{"127.0.0.1", 0}), *m_options.clock, m_options.peers);
     }
     return link;
 }
--- a/src/daemon/eventlog.cpp
+++ b/src/daemon/eventlog.cpp
@@ -3,8 +3,8 @@
 #include <absl/status/statusor.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <spdlog/logger.h>
 #include <spdlog/details/null_mutex.h>
+#include <spdlog/logger.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
 
--- a/src/daemon/intentstore.cpp
+++ b/src/daemon/intentstore.cpp
@@ -154,7 +154,8 @@
                       .add("term", recovery.disk.hardState.term)
                       .add("snapshot", recovery.disk.snapshot.index)
                       .add("entries", std::uint64_t(recovery.disk.entries.size())));
-        replica = std::make_unique<Replica>(replicaOptions, std::move(recovery.disk), Random(options.seed), clock.now());
+        replica
+            = std::make_unique<Replica>(replicaOptions, std::move(recovery.disk), Random(options.seed), clock.now());
         leaderSeen = clock.now();
         return absl::OkStatus();
     }
--- a/src/daemon/intentstore.h
+++ b/src/daemon/intentstore.h
@@ -1,4 +1,5 @@
-/// The operators' state on a control VM: a replica of the log, its disk, its links to the others, and the state machine.
+/// The operators' state on a control VM: a replica of the log, its disk, its links to the others, and the state
+/// machine.
 #pragma once
 
 #include "daemon/eventlog.h"
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -106,8 +106,8 @@
         , services(clock, routerOptions(settings), seedOf(settings))
         , keys(std::make_shared<NodeKeys>(KeyRetention, MaxKeptAnswerBytes,
                                           [this](ClaimRequest request) { return claim(std::move(request)); }))
-        , local({&clock, settings.announceLease, settings.stallTimeout, settings.dataCentre, "", incarnation, {}}, services,
-                log, metrics, keys)
+        , local({&clock, settings.announceLease, settings.stallTimeout, settings.dataCentre, "", incarnation, {}},
+                services, log, metrics, keys)
         , dispatcher(dispatcherOptions(clock, settings), services, local, log, metrics)
         , door(runtime, clock, doorOptions(settings),
                [this](CallerRequest &request, BodySource &source, CallerSink &sink, ExchangeProgress &progress) {
--- a/src/daemon/nodesessions.h
+++ b/src/daemon/nodesessions.h
@@ -37,8 +37,8 @@
     struct Hooks {
         /// Takes a frame that is no report; false ends the connection.
         std::function<asio::awaitable<bool>(FrameStream &stream, NodeSession &session, const Frame &frame)> takeFrame;
-        /// Queues what is new for a node besides the directory; returns when it wants to be asked again, zero if only at
-        /// the next heartbeat.
+        /// Queues what is new for a node besides the directory; returns when it wants to be asked again, zero if only
+        /// at the next heartbeat.
         std::function<Duration(FrameStream &stream, NodeSession &session)> queueNews;
     };
 
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -249,8 +249,12 @@
         answer.refusal = queues ? GuardRefusal::QueueFull : GuardRefusal::AtLimit;
         return answer;
     }
-    const WaitingRequest request{offer.ticket,   offer.priority,           offer.objective,
-                                 offer.deadline, now + m_policy.queueWait, expectedWork(offer.route, now),
+    const WaitingRequest request{offer.ticket,
+                                 offer.priority,
+                                 offer.objective,
+                                 offer.deadline,
+                                 now + m_policy.queueWait,
+                                 expectedWork(offer.route, now),
                                  m_policy.refusesLate && first};
     const WaitingAnswer waiting = m_waiting.offer(request, rate(now), now);
     if (!waiting.waits) {
@@ -309,8 +313,8 @@
     return std::any_of(m_priorities.begin(), m_priorities.end(), lessUrgent);
 }
 
-/// A target that is busy does not take what it cannot answer in time: the slots are worth more to others, and the caller
-/// can still go elsewhere.
+/// A target that is busy does not take what it cannot answer in time: the slots are worth more to others, and the
+/// caller can still go elsewhere.
 bool Guard::wouldBeLate(const GuardOffer &offer, bool first, TimePoint now) const
 {
     if (!m_policy.refusesLate || offer.objective == TimePoint::max()) {
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -35,7 +35,8 @@
     Resolve resolve; ///< Finds the service of a request; by path and host as findServicePath() does if it is not set.
     bool keepsRequestIds = false; ///< Whether the id that the caller gave identifies the request.
     bool fractionalRetryAfter = false; ///< Whether Retry-After may have a fraction, for callers that take one.
-    std::size_t holdBytes = 0; ///< An answer up to this size is held until it is whole, so that it can be fetched again.
+    std::size_t holdBytes
+        = 0; ///< An answer up to this size is held until it is whole, so that it can be fetched again.
 
     Duration headTimeout = std::chrono::seconds(5); ///< Time for a whole request head.
     Duration idleTimeout = std::chrono::seconds(75); ///< Time that a connection may stay idle.
--- a/src/net/doorsession.cpp
+++ b/src/net/doorsession.cpp
@@ -239,7 +239,8 @@
         m_keepAlive = m_keepAlive && keepAlive;
         m_wantsRetry = nullptr;
         std::string body;
-        const ResponseHead own = ownAnswer(result, m_requestId, m_session.m_context.options.fractionalRetryAfter, &body);
+        const ResponseHead own
+            = ownAnswer(result, m_requestId, m_session.m_context.options.fractionalRetryAfter, &body);
         co_await head(own, Flush::WithNext);
         if (!m_answersHead) {
             co_await chunk(std::move(body), Flush::WithNext);
@@ -389,8 +390,8 @@
     head.headers = caller.fields;
     head.idempotencyKey = std::string(message["Idempotency-Key"]);
     head.repeatable = isSafeMethod(head.method);
-    const absl::Status resolved = m_context.options.resolve ? m_context.options.resolve(caller, &request)
-                                                            : resolveByName(caller, &request);
+    const absl::Status resolved
+        = m_context.options.resolve ? m_context.options.resolve(caller, &request) : resolveByName(caller, &request);
     if (!resolved.ok()) {
         return resolved;
     }
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -50,7 +50,8 @@
     /// Called at a sign of doubt; without it, a connection that is cut off counts as a restart.
     std::function<void(TargetDoubt doubt)> onDoubt;
     Duration connectTimeout = std::chrono::seconds(1); ///< Time for a connection to the target.
-    bool closesAbandoned = false; ///< Whether the target ends work when its connection is closed, not when it is half-closed.
+    bool closesAbandoned
+        = false; ///< Whether the target ends work when its connection is closed, not when it is half-closed.
     Duration abandonedLinger{}; ///< Time for which the slot of closed work stays taken.
 
     const Clock *clock = nullptr; ///< Tells the time.
--- a/src/net/messagelink.h
+++ b/src/net/messagelink.h
@@ -1,7 +1,7 @@
 /// A one-way link that sends frames to another process and opens its connection again when it is lost.
 ///
-/// Frames that wait when the connection is lost are dropped, since the protocols that use the link send anew what is not
-/// acknowledged. Used on one event loop only.
+/// Frames that wait when the connection is lost are dropped, since the protocols that use the link send anew what is
+/// not acknowledged. Used on one event loop only.
 #pragma once
 
 #include "net/neterror.h"
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -201,8 +201,8 @@
 }
 
 /// Returns the expected time from now until the target has finished the work, in seconds.
-double ServiceRouter::finishTime(const Entry &entry, double estimate, const Averages &averages,
-                                 const RequestCost &cost, TimePoint now) const
+double ServiceRouter::finishTime(const Entry &entry, double estimate, const Averages &averages, const RequestCost &cost,
+                                 TimePoint now) const
 {
     const double limit = std::max<double>(1, limitOf(entry));
     const double known = cost.work > Duration::zero() ? toSeconds(cost.work) : averages.latency;
@@ -225,8 +225,8 @@
     return out;
 }
 
-std::optional<RouterChoice> ServiceRouter::choose(const std::set<std::string> &excluded, TimePoint now,
-                                                  Random &random, const RequestCost &cost) const
+std::optional<RouterChoice> ServiceRouter::choose(const std::set<std::string> &excluded, TimePoint now, Random &random,
+                                                  const RequestCost &cost) const
 {
     const Averages all = averages(now);
     std::vector<Candidate> candidates;
@@ -236,8 +236,9 @@
         }
         const double estimate = estimateInFlight(it.second, all, now);
         const bool earliest = m_options.strategy == RoutingStrategy::EarliestFinish;
-        const double weight = earliest ? -finishTime(it.second, estimate, all, cost, now) * (1 + Jitter * randomFraction(random))
-                                       : weightOf(it.second, estimate, all, now);
+        const double weight
+            = earliest ? -finishTime(it.second, estimate, all, cost, now) * (1 + Jitter * randomFraction(random))
+                       : weightOf(it.second, estimate, all, now);
         candidates.push_back({&it.second, weight, estimate});
     }
     if (candidates.empty()) {
--- a/src/storage/replicalog.cpp
+++ b/src/storage/replicalog.cpp
@@ -167,7 +167,8 @@
     if (!internal::writeAll(m_fd, bytes) || ::fdatasync(m_fd) != 0) {
         const absl::Status status = internal::fileError("cannot store in", m_path);
         // The next try writes at the same place; what was written of this one is cut off, or overwritten then.
-        if (::ftruncate(m_fd, static_cast<off_t>(m_size)) != 0 || ::lseek(m_fd, static_cast<off_t>(m_size), SEEK_SET) < 0) {
+        if (::ftruncate(m_fd, static_cast<off_t>(m_size)) != 0
+            || ::lseek(m_fd, static_cast<off_t>(m_size), SEEK_SET) < 0) {
             return absl::UnavailableError(std::string(status.message()) + "; it could not be undone");
         }
         return status;
--- a/tests/unit/hedgetest.cpp
+++ b/tests/unit/hedgetest.cpp
@@ -49,7 +49,8 @@
     CHECK(timer.delay(220ms) <= 140ms);
 }
 
-TEST_CASE("A slow phase: a request is moved while it can still meet its objective elsewhere, not when it is nearly done")
+TEST_CASE(
+    "A slow phase: a request is moved while it can still meet its objective elsewhere, not when it is nearly done")
 {
     HedgeTimer timer;
     for (int i = 0; i < 100; ++i) {
--- a/tests/unit/platformwiretest.cpp
+++ b/tests/unit/platformwiretest.cpp
@@ -53,7 +53,11 @@
                {"weightedClusters", {{{"service", "huvo"}, {"weight", 90}}, {{"service", "wuno"}, {"weight", 10}}}},
                {"maxAttempts", 2}}}},
             {"services",
-             {{{"name", "huvo"}, {"healthPath", "/healthz"}, {"maxConnections", 260}, {"coldStart", "3s"}, {"coldPerS", 42.0}},
+             {{{"name", "huvo"},
+               {"healthPath", "/healthz"},
+               {"maxConnections", 260},
+               {"coldStart", "3s"},
+               {"coldPerS", 42.0}},
               {{"name", "wuno"}, {"healthPath", "/healthz"}, {"maxConnections", 260}}}}};
 }
 
@@ -99,9 +103,8 @@
 
 TEST_CASE("What only the system may set is set by the system, whatever the caller sent")
 {
-    std::vector<HeaderField> fields{{"shallotrelay-caller-service", "forged"},
-                                    {"Shallotrelay-Expect-Instance", "forged"},
-                                    {"Accept", "text/html"}};
+    std::vector<HeaderField> fields{
+        {"shallotrelay-caller-service", "forged"}, {"Shallotrelay-Expect-Instance", "forged"}, {"Accept", "text/html"}};
     cleanFields(&fields);
     REQUIRE(fields.size() == 1);
     const auto own = targetFields(requestOf("a"));
@@ -112,9 +115,15 @@
 
 TEST_CASE("A heartbeat is read whole or not at all")
 {
-    const nlohmann::json good = {{"service", "huvo"},   {"address", "10.0.0.9:8080"}, {"zone", "recife-a"},
-                                 {"version", "v1"},     {"slots", 14},                {"state", "ready"},
-                                 {"coldRemaining", "1500ms"}, {"sequence", 4},        {"born", 1790000000000ULL}};
+    const nlohmann::json good = {{"service", "huvo"},
+                                 {"address", "10.0.0.9:8080"},
+                                 {"zone", "recife-a"},
+                                 {"version", "v1"},
+                                 {"slots", 14},
+                                 {"state", "ready"},
+                                 {"coldRemaining", "1500ms"},
+                                 {"sequence", 4},
+                                 {"born", 1790000000000ULL}};
     const auto heartbeat = parseHeartbeat("i-1", good.dump());
     REQUIRE(heartbeat.ok());
     CHECK(heartbeat->slots == 14);
@@ -182,7 +191,10 @@
     CHECK_FALSE(spoiled([](nlohmann::json &it) { it["routes"][0]["targetLatency"] = "60800ms"; }));
     CHECK_FALSE(spoiled([](nlohmann::json &it) { it["routes"][0]["maxAttempts"] = 0; }));
     CHECK_FALSE(spoiled([](nlohmann::json &it) { it["routes"][1]["pathPrefix"] = "/pufi/"; }));
-    CHECK_FALSE(spoiled([](nlohmann::json &it) { it["routes"][1]["weightedClusters"][0]["weight"] = 0; it["routes"][1]["weightedClusters"][1]["weight"] = 0; }));
+    CHECK_FALSE(spoiled([](nlohmann::json &it) {
+        it["routes"][1]["weightedClusters"][0]["weight"] = 0;
+        it["routes"][1]["weightedClusters"][1]["weight"] = 0;
+    }));
     CHECK_FALSE(spoiled([](nlohmann::json &it) { it.erase("services"); }));
     CHECK_FALSE(parseState({1, 7, sampleState(7).dump().substr(0, 300), {}}).ok());
 }
--- a/tests/unit/replicalogtest.cpp
+++ b/tests/unit/replicalogtest.cpp
@@ -20,7 +20,8 @@
     TemporaryFolder()
     {
         static int n = 0;
-        m_path = std::filesystem::temp_directory_path() / ("replicalog-" + std::to_string(::getpid()) + "-" + std::to_string(++n));
+        m_path = std::filesystem::temp_directory_path()
+                 / ("replicalog-" + std::to_string(::getpid()) + "-" + std::to_string(++n));
     }
 
     ~TemporaryFolder()
