--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,5 +14,5 @@
 commands = [it for it in commands if "cmake_pch" not in it["file"]]
 json.dump(commands, open("build/lint/compile_commands.json", "w"))
 EOF
-git ls-files 'src/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'examples/*.cpp' |
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'examples/*.cpp' |
     xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build/lint --extra-arg=-D__cpp_impl_coroutine=201902L
