--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -20,7 +20,7 @@
 {
 
 /// The one owner of all services, since the operators of a cluster share one state.
-const std::string ClusterFirm = "cluster";
+constexpr const char *ClusterFirm = "cluster";
 
 constexpr std::size_t MaxMetricsBytes = 4 * 1024;
 /// Time between looks at the guard: waiting requests are dropped or started, and load is compared with the last beacon.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -84,7 +84,7 @@
         self.writers = set()
 
     async def start(self):
-        await asyncio.start_server(self.serve, self.host, PROXY)
+        return await asyncio.start_server(self.serve, self.host, PROXY)
 
     async def serve(self, reader, writer):
         if self.refuse:
@@ -131,8 +131,8 @@
         self.sequence = 0
 
     async def start(self):
-        await asyncio.start_server(self.serve, self.host, WORKER)
         asyncio.create_task(self.announce())
+        return await asyncio.start_server(self.serve, self.host, WORKER)
 
     async def announce(self):
         while True:
@@ -185,6 +185,7 @@
         self.random = random.Random(seed)
         self.seconds, self.binary, self.folder = seconds, binary, folder
         self.processes = {}
+        self.servers = []
         self.struck = set()
         self.runs = {}
         self.unsafe = {}  # status by id of requests that must not be repeated
@@ -386,8 +387,7 @@
     async def run(self):
         self.proxies = [Proxy(it) for it in NODES]
         self.workers = [Worker(self, it, "s%d" % (i // 2), ZONES[i % 2]) for i, it in enumerate(NODES)]
-        for it in self.proxies + self.workers:
-            await it.start()
+        self.servers = [await it.start() for it in self.proxies + self.workers]
         for host in CONTROLS + NODES:
             await self.launch(host)
         operator = asyncio.create_task(self.operator())
@@ -406,6 +406,8 @@
                 self.broken.append("refused and ran: " + request)
 
     async def end(self):
+        for it in self.servers:
+            it.close()
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
