--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -135,7 +135,7 @@
         return await asyncio.start_server(self.serve, self.host, WORKER)
 
     async def announce(self):
-        while True:
+        while not self.soak.ended:
             self.sequence += 1
             body = {"service": self.service, "address": "%s:%d" % (self.host, PROXY), "zone": self.zone, "version": "v1",
                     "slots": 8, "state": "ready", "coldRemaining": "0ms", "sequence": self.sequence, "born": self.born}
@@ -196,6 +196,7 @@
         self.served = 0
         self.asked = 0
         self.over = False
+        self.ended = False
 
     def ran(self, request, caller):
         self.runs[request] = self.runs.get(request, 0) + 1
@@ -406,6 +407,7 @@
                 self.broken.append("refused and ran: " + request)
 
     async def end(self):
+        self.ended = self.over = True
         for it in self.servers:
             it.close()
         for process in self.processes.values():
