--- a/tests/process/clustertest.cpp
+++ b/tests/process/clustertest.cpp
@@ -27,11 +27,23 @@
 
     void start(const std::string &firstStart)
     {
-        const std::vector<std::string> args
-            = {"platform-control",  "--name",          "c1",           "--listen",  m_peers.text(),
-               "--operator-listen", m_operators.text(), "--metrics-listen", m_metrics.text(), "--control",
-               m_operators.text(),  "--data-folder",   m_folder.path("data"), "--first-start", firstStart,
-               "--trust",           m_trust};
+        const std::vector<std::string> args = {"platform-control",
+                                               "--name",
+                                               "c1",
+                                               "--listen",
+                                               m_peers.text(),
+                                               "--operator-listen",
+                                               m_operators.text(),
+                                               "--metrics-listen",
+                                               m_metrics.text(),
+                                               "--control",
+                                               m_operators.text(),
+                                               "--data-folder",
+                                               m_folder.path("data"),
+                                               "--first-start",
+                                               firstStart,
+                                               "--trust",
+                                               m_trust};
         process = std::make_unique<Process>(args, m_folder.path("control.log"));
     }
 
