--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -172,11 +172,13 @@
     }
 
 private:
-    /// Tells what is known of all tries; what may have run in one of them is not refused.
+    /// Tells what is known of all tries; what may have run in one of them is not refused. A request with a key says of
+    /// itself whether it may have run, and can be sent again in any case.
     ExchangeResult overall(ExchangeResult result) const
     {
         result.execution = m_plan.overall(result.execution);
-        if (result.status == ServiceUnavailable && result.execution != Execution::NotRun) {
+        const bool mayHaveRun = result.execution != Execution::NotRun && !isKeyed(m_request.head);
+        if (result.status == ServiceUnavailable && mayHaveRun) {
             result.status = BadGateway;
         }
         return result;
