--- a/src/storage/replicalog.cpp
+++ b/src/storage/replicalog.cpp
@@ -62,11 +62,12 @@
     }
     if (type == ReplicaSnapshot::FrameType) {
         auto snapshot = decodeMessage<ReplicaSnapshot>(payload);
-        if (snapshot.ok()) {
-            recovery->disk.snapshot = *std::move(snapshot);
-            recovery->disk.entries.clear();
+        if (!snapshot.ok()) {
+            return false;
         }
-        return snapshot.ok();
+        recovery->disk.snapshot = *std::move(snapshot);
+        recovery->disk.entries.clear();
+        return true;
     }
     auto entry = type == ConsensusEntry::FrameType ? decodeMessage<ConsensusEntry>(payload)
                                                    : absl::StatusOr<ConsensusEntry>(absl::UnknownError("type"));
