--- a/tests/unit/platformwiretest.cpp
+++ b/tests/unit/platformwiretest.cpp
@@ -28,7 +28,7 @@
     return out;
 }
 
-const HeaderField Seal{"Shallotrelay-Server-Seal", "3e1b.07"};
+const HeaderField seal{"Shallotrelay-Server-Seal", "3e1b.07"};
 
 nlohmann::json sampleState(std::uint64_t version)
 {
@@ -73,12 +73,12 @@
     const RequestHead request = requestOf("a");
     using Kind = AnswerCheck::Kind;
     const auto kindOf = [&](const ResponseHead &head) { return checkAnswer(request, head).kind; };
-    CHECK(kindOf(answerOf(200, "a", {Seal})) == Kind::Answer);
+    CHECK(kindOf(answerOf(200, "a", {seal})) == Kind::Answer);
     CHECK(kindOf(answerOf(500, "a", {})) == Kind::Answer);
-    CHECK(kindOf(answerOf(200, "b", {Seal})) == Kind::OtherRequest);
+    CHECK(kindOf(answerOf(200, "b", {seal})) == Kind::OtherRequest);
     CHECK(kindOf(answerOf(200, "a", {})) == Kind::Invalid);
-    CHECK(kindOf(answerOf(200, "", {Seal})) == Kind::Invalid);
-    CHECK(kindOf(answerOf(200, "a", {Seal, {"Content-Encoding", "gzip"}})) == Kind::Invalid);
+    CHECK(kindOf(answerOf(200, "", {seal})) == Kind::Invalid);
+    CHECK(kindOf(answerOf(200, "a", {seal, {"Content-Encoding", "gzip"}})) == Kind::Invalid);
     CHECK(kindOf(answerOf(503, "a", {{"Shallotrelay-Not-Executed", "1"}})) == Kind::Rejected);
     CHECK(kindOf(answerOf(421, "a", {})) == Kind::Rejected);
 }
@@ -87,18 +87,18 @@
 {
     const RequestHead request = requestOf("a");
     for (const std::uint16_t it : {408, 429, 503}) {
-        CHECK(checkAnswer(request, answerOf(it, "a", {Seal})).kind == AnswerCheck::Kind::Invalid);
+        CHECK(checkAnswer(request, answerOf(it, "a", {seal})).kind == AnswerCheck::Kind::Invalid);
     }
 }
 
 TEST_CASE("The fourth load figure is the pace")
 {
     const HeaderField load{"Shallotrelay-Instance-Load", "3,0,8,500"};
-    CHECK(checkAnswer(requestOf("a"), answerOf(200, "a", {Seal, load})).pacePercent == 500);
+    CHECK(checkAnswer(requestOf("a"), answerOf(200, "a", {seal, load})).pacePercent == 500);
     const HeaderField three{"Shallotrelay-Instance-Load", "3,0,8"};
-    CHECK(checkAnswer(requestOf("a"), answerOf(200, "a", {Seal, three})).pacePercent == 0);
+    CHECK(checkAnswer(requestOf("a"), answerOf(200, "a", {seal, three})).pacePercent == 0);
     const HeaderField bad{"Shallotrelay-Instance-Load", "x,y,z,-1"};
-    CHECK(checkAnswer(requestOf("a"), answerOf(200, "a", {Seal, bad})).pacePercent == 0);
+    CHECK(checkAnswer(requestOf("a"), answerOf(200, "a", {seal, bad})).pacePercent == 0);
 }
 
 TEST_CASE("What only the system may set is set by the system, whatever the caller sent")
