One fromSeconds(), one encodePayload(), and the metrics of a try counted for both ways of running it

Found on reading the whole change: fromSeconds() stood in guard and hedge and once more spelt out in the slowdown model; the payload of a message was cut out of its frame in two files; retries and the time to the head were counted where tries run one after the other only, so that the requests of a cluster, which run as races, were missing from the metrics.

--- a/include/shallotrelay/base/clock.h
+++ b/include/shallotrelay/base/clock.h
@@ -39,6 +39,9 @@
 /// Returns the span in seconds with its fraction.
 double toSeconds(Duration span);
 
+/// Returns the span of a number of seconds with its fraction.
+Duration fromSeconds(double seconds);
+
 /// Returns the span in whole milliseconds, rounded up and bounded to what 32 bits hold.
 std::uint32_t toWholeMilliseconds(Duration span);
 
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -22,6 +22,11 @@
     return std::chrono::duration<double>(span).count();
 }
 
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 std::uint32_t toWholeMilliseconds(Duration span)
 {
     const auto ms = std::chrono::ceil<std::chrono::milliseconds>(span).count();
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -15,11 +15,6 @@
 /// runs.
 constexpr Duration JoinMemory = std::chrono::milliseconds(1000);
 
-std::string payloadOf(const std::string &frame)
-{
-    return frame.substr(FrameHeaderBytes);
-}
-
 bool contains(const std::vector<ReplicaMember> &members, const std::string &id)
 {
     return std::any_of(members.begin(), members.end(), [&](const ReplicaMember &it) { return it.id == id; });
@@ -321,7 +316,7 @@
     if (!wanted) {
         return;
     }
-    append(EntryKind::Members, payloadOf(encodeFrame(MemberList{*wanted})));
+    append(EntryKind::Members, encodePayload(MemberList{*wanted}));
     refreshProgress(now);
     advanceCommit();
     broadcast(now);
@@ -513,7 +508,7 @@
         out.round = m_round;
         ReplicaSnapshot snapshot = m_snapshot;
         snapshot.data = m_snapshotData;
-        out.snapshot = payloadOf(encodeFrame(snapshot));
+        out.snapshot = encodePayload(snapshot);
         m_output.now.push_back(std::move(out));
         return;
     }
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -354,6 +354,7 @@
         const auto planned = m_plan.next(m_shard->router, m_shard->budget, m_shard->random, now());
         if (planned) {
             m_record = m_shard->records.at(planned->choice.target);
+            m_dispatcher.m_retries.Increment(planned->reason == TryReason::Retry ? 1 : 0);
         }
         return planned;
     }
@@ -362,9 +363,6 @@
     {
         TryNote note(m_shard, planned.choice.target, *m_dispatcher.m_options.clock);
         logDecision("try", toString(planned.reason), planned.choice);
-        if (planned.reason == TryReason::Retry) {
-            m_dispatcher.m_retries.Increment();
-        }
         m_request.head = headFor(planned);
         m_source.rewind();
         m_progress = {m_plan.overall(Execution::NotRun), false};
@@ -373,7 +371,6 @@
         ExchangeResult result = co_await backend->run(m_request.head, m_source, m_sink, m_progress, m_request.deadline);
         note.ended(result);
         if (result.whole) {
-            m_dispatcher.m_headLatency.Observe(std::chrono::duration<double>(result.headLatency).count());
             learnWork(result.headLatency);
         }
         co_return result;
@@ -439,6 +436,7 @@
     void noteAnswer(const ExchangeResult &result, const std::string &target, TimePoint begun)
     {
         learnBytes(result);
+        m_dispatcher.m_headLatency.Observe(toSeconds(result.headLatency));
         if (!m_dispatcher.m_log.enabled(LogLevel::Info)) {
             return;
         }
--- a/src/daemon/intentstore.cpp
+++ b/src/daemon/intentstore.cpp
@@ -36,11 +36,6 @@
 /// Entries behind the snapshot before a new one is taken.
 constexpr std::size_t CompactEntries = 200;
 
-std::string payloadOf(const std::string &frame)
-{
-    return frame.substr(FrameHeaderBytes);
-}
-
 /// Identity of a replica that takes part from the first start on; it is known to the others without asking.
 std::string firstIdentity(const std::string &address)
 {
@@ -273,7 +268,7 @@
         settleReads(output);
         noteRole();
         if (replica->keptEntries() > CompactEntries && !committed.empty() && !storing) {
-            replica->compact(committed.back().index, payloadOf(encodeFrame(state.snapshot())));
+            replica->compact(committed.back().index, encodePayload(state.snapshot()));
             pump();
         }
     }
@@ -525,7 +520,7 @@
             result.outcome = StoreOutcome::Done;
             co_return result;
         }
-        const auto place = replica->propose(payloadOf(encodeFrame(*order)), clock.now());
+        const auto place = replica->propose(encodePayload(*order), clock.now());
         if (!place) {
             co_return result;
         }
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -38,11 +38,6 @@
 /// A target that stays slow for this long is taken to be as fast as it gets.
 constexpr Duration SlowModeBound = std::chrono::seconds(10);
 
-Duration fromSeconds(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 double blend(double average, double value, double weight)
 {
     return average + weight * (value - average);
--- a/src/limits/slowdown.cpp
+++ b/src/limits/slowdown.cpp
@@ -54,8 +54,7 @@
 Duration SlowdownModel::usual(const std::string &route) const
 {
     const auto it = m_usual.find(route);
-    const double seconds = it == m_usual.end() ? 0 : it->second;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return fromSeconds(it == m_usual.end() ? 0 : it->second);
 }
 
 double SlowdownModel::full() const
--- a/src/retry/hedge.cpp
+++ b/src/retry/hedge.cpp
@@ -26,11 +26,6 @@
 /// Delay of a route that has had no answer yet.
 constexpr Duration UnknownDelay = std::chrono::milliseconds(500);
 
-Duration fromSeconds(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 }
 
 void HedgeTimer::answered(Duration latency)
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -45,6 +45,13 @@
 template<class Message>
 std::string encodeFrame(const Message &message);
 
+/// Returns the payload of a message alone, for messages that are carried within others.
+template<class Message>
+std::string encodePayload(const Message &message)
+{
+    return encodeFrame(message).substr(FrameHeaderBytes);
+}
+
 /// Returns the message of a payload, which must hold the message and no more.
 template<class Message>
 absl::StatusOr<Message> decodeMessage(std::string_view payload);
