--- a/tests/unit/waitinglinetest.cpp
+++ b/tests/unit/waitinglinetest.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr Duration Work = 60ms;
-const ServiceRate TwelveSlots{12, 5ms};
+const ServiceRate twelveSlots{12, 5ms};
 
 WaitingRequest requestOf(GuardTicket ticket, Duration objective, Duration deadline, TimePoint now)
 {
@@ -31,7 +31,7 @@
     int waiting = 0;
     Duration excess{};
     for (GuardTicket ticket = 1; ticket <= 100; ++ticket) {
-        const WaitingAnswer answer = line.offer(requestOf(ticket, 200ms, 500ms, at(0s)), TwelveSlots, at(0s));
+        const WaitingAnswer answer = line.offer(requestOf(ticket, 200ms, 500ms, at(0s)), twelveSlots, at(0s));
         waiting += answer.waits ? 1 : 0;
         excess = answer.excess;
     }
@@ -45,11 +45,11 @@
 {
     WaitingLine line;
     for (GuardTicket ticket = 1; ticket <= 10; ++ticket) {
-        REQUIRE(line.offer(requestOf(ticket, 20ms, 2s, at(0s)), TwelveSlots, at(0s)).waits);
+        REQUIRE(line.offer(requestOf(ticket, 20ms, 2s, at(0s)), twelveSlots, at(0s)).waits);
     }
-    const WaitingAnswer answer = line.offer(requestOf(99, 200ms, 500ms, at(0s)), TwelveSlots, at(0s));
+    const WaitingAnswer answer = line.offer(requestOf(99, 200ms, 500ms, at(0s)), twelveSlots, at(0s));
     CHECK(answer.waits);
-    CHECK(answer.expectedWait == TwelveSlots.untilFirstSlot);
+    CHECK(answer.expectedWait == twelveSlots.untilFirstSlot);
     CHECK(line.takeNext(at(0s))->ticket == 99);
     CHECK(line.takeNext(at(0s))->ticket == 1);
 }
@@ -57,10 +57,10 @@
 TEST_CASE("A slow phase: what becomes late waits behind, and is refused once it cannot finish before its deadline")
 {
     WaitingLine line;
-    REQUIRE(line.offer(requestOf(1, 200ms, 500ms, at(0s)), TwelveSlots, at(0s)).waits);
-    REQUIRE(line.offer(requestOf(2, 500ms, 800ms, at(0s)), TwelveSlots, at(0s)).waits);
-    CHECK(line.dropHopeless(TwelveSlots, at(160ms)).empty());
-    CHECK(line.dropHopeless(TwelveSlots, at(450ms)) == std::vector<GuardTicket>{1});
+    REQUIRE(line.offer(requestOf(1, 200ms, 500ms, at(0s)), twelveSlots, at(0s)).waits);
+    REQUIRE(line.offer(requestOf(2, 500ms, 800ms, at(0s)), twelveSlots, at(0s)).waits);
+    CHECK(line.dropHopeless(twelveSlots, at(160ms)).empty());
+    CHECK(line.dropHopeless(twelveSlots, at(450ms)) == std::vector<GuardTicket>{1});
     CHECK(line.takeNext(at(450ms))->ticket == 2);
 }
 
@@ -71,15 +71,15 @@
     low.priority = 2;
     WaitingRequest high = requestOf(2, 250ms, 600ms, at(0s));
     high.priority = 1;
-    REQUIRE(line.offer(low, TwelveSlots, at(0s)).waits);
-    REQUIRE(line.offer(high, TwelveSlots, at(0s)).waits);
+    REQUIRE(line.offer(low, twelveSlots, at(0s)).waits);
+    REQUIRE(line.offer(high, twelveSlots, at(0s)).waits);
     CHECK(line.takeNext(at(1ms))->ticket == 2);
 }
 
 TEST_CASE("A request that gives up leaves the line")
 {
     WaitingLine line;
-    REQUIRE(line.offer(requestOf(1, 200ms, 500ms, at(0s)), TwelveSlots, at(0s)).waits);
+    REQUIRE(line.offer(requestOf(1, 200ms, 500ms, at(0s)), twelveSlots, at(0s)).waits);
     CHECK(line.remove(1));
     CHECK_FALSE(line.remove(1));
     CHECK_FALSE(line.takeNext(at(0s)).has_value());
@@ -101,7 +101,7 @@
     int warm = 0;
     for (int ms = 0; ms < 3000; ms += 5) {
         GuardOffer offer;
-        offer.ticket = static_cast<GuardTicket>(ms + 1);
+        offer.ticket = static_cast<GuardTicket>(ms) + 1;
         offer.deadline = at(10s);
         const TimePoint now = at(std::chrono::milliseconds(ms));
         if (guard.offer(offer, now).kind == GuardAnswer::Kind::Admitted) {
