--- a/src/daemon/controllink.cpp
+++ b/src/daemon/controllink.cpp
@@ -2,6 +2,7 @@
 
 #include "base/text.h"
 #include "net/framestream.h"
+#include "shallotrelay/membership/connectpatience.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,8 +19,8 @@
 namespace
 {
 
-constexpr Duration ConnectTimeout = std::chrono::seconds(1);
-constexpr Duration ReconnectDelay = std::chrono::milliseconds(200);
+/// Pause after a lost or refused connection.
+constexpr Duration ReconnectDelay = std::chrono::milliseconds(100);
 constexpr int SilentHeartbeats = 3;
 constexpr Duration ClaimTimeout = std::chrono::seconds(2);
 
@@ -43,6 +44,7 @@
     LocalTargets &local;
     EventLog &log;
     asio::steady_timer wake;
+    ConnectPatience patience;
     std::string source;
     bool roused = false;
     std::uint64_t lastClaim = 0;
@@ -55,8 +57,10 @@
     static asio::awaitable<void> run(std::shared_ptr<Impl> self)
     {
         while (!self->stopped) {
-            auto socket = co_await connectTo(self->loop.get_executor(), self->options.address, ConnectTimeout);
+            const Duration timeout = self->patience.next();
+            auto socket = co_await connectTo(self->loop.get_executor(), self->options.address, timeout);
             if (socket.ok()) {
+                self->patience.succeeded();
                 co_await self->talk(*std::move(socket));
             }
             self->connected = false;
