The length of slow phases is learnt from reports; targets are drawn without jitter

Ruled out: crowding (at the usual pace the time does not grow up to 17 of 18 slots), hedges too late (a natural share of 5 to 10 in 100 is late by the noise alone).

--- a/include/shallotrelay/membership/connectpatience.h
+++ b/include/shallotrelay/membership/connectpatience.h
@@ -2,7 +2,8 @@
 ///
 /// The load pattern: many VMs start at about the same time, and those that are not up yet drop packets without an
 /// answer. The operating system sends a lost connection request again after a second, so an attempt that is given up
-/// sooner and made anew finds the VM as soon as it is up. Attempts grow longer, so that a slow network is borne as well.
+/// sooner and made anew finds the VM as soon as it is up. Attempts grow longer, so that a slow network is borne as
+/// well.
 #pragma once
 
 #include "shallotrelay/base/clock.h"
--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -123,6 +123,7 @@
         double failureShare = 0;
         TimePoint failureNoted;
         double latency = 0; // seconds
+        std::optional<TimePoint> slowSince; // start of a slow phase of its VM
     };
     struct Averages {
         double utilisation = 0;
@@ -149,8 +150,11 @@
     const Candidate &drawEarly(const std::vector<Candidate> &candidates, Random &random) const;
     RouterChoice toChoice(const Candidate &candidate, std::size_t candidates, TimePoint now) const;
 
+    void noteSlowPhase(Entry &entry, const LoadReport &load, TimePoint now);
+
     RouterOptions m_options;
     std::map<std::string, Entry> m_entries;
+    double m_slowPhase; // seconds, average length of slow phases
 };
 
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -30,10 +30,14 @@
 constexpr double LeastReportMemorySeconds = 0.005;
 /// Time in which a share of failures is half forgotten, in seconds.
 constexpr double FailureHalfLifeSeconds = 1.0;
-/// Time for which a reported pace is trusted; noisy neighbours come and go about this often.
-constexpr double PaceMemorySeconds = 0.1;
-/// Longest slow phase that is expected, in seconds: work that outlasts it goes on at the usual pace.
-constexpr double SlowPhaseSeconds = 0.25;
+/// A VM on which work takes this many percent of the usual time is in a slow phase.
+constexpr std::uint32_t SlowPacePercent = 180;
+/// Length of slow phases that is assumed until some were seen, in seconds.
+constexpr double FirstSlowPhaseSeconds = 0.25;
+/// Longest slow phase that counts as one, in seconds; what lasts longer is a target that has turned slow.
+constexpr double LongestSlowPhaseSeconds = 1.0;
+/// Share of one slow phase in the average length; about the last twenty count.
+constexpr double SlowPhaseWeight = 0.05;
 /// Extra time at a target in another data centre, in seconds: two ways across.
 constexpr double RemoteSeconds = 0.003;
 /// Weighs bytes between data centres, which are paid for, against the time of callers.
@@ -44,13 +48,13 @@
 constexpr double FreelyUsed = 0.3;
 /// Time that a certain failure costs, in seconds: the try and another one elsewhere.
 constexpr double FailureSeconds = 0.5;
-/// Share of the finish time by which equal targets differ at random, so that nodes do not all choose the same one.
-constexpr double Jitter = 0.1;
 /// A target that is expected to take this many times as long as the best one is not drawn.
-constexpr double GoodFactor = 2.5;
+constexpr double GoodFactor = 4.0;
 /// Draws of which the best is taken, once among targets nearby and once among all: choosing the best of two is far
 /// better than one at random, and unlike the best of all it does not gather nodes that know the same reports.
-constexpr int DrawsEach = 2;
+constexpr std::size_t DrawsEach = 2;
+/// Of so few targets the best one is taken: each gets a large share in any case.
+constexpr std::size_t FewTargets = 4;
 /// Work that is expected as long as nothing is known, in seconds.
 constexpr double LeastWorkSeconds = 0.005;
 /// A target whose guard has been silent for this long is avoided.
@@ -76,6 +80,7 @@
 
 ServiceRouter::ServiceRouter(RouterOptions options)
     : m_options(std::move(options))
+    , m_slowPhase(FirstSlowPhaseSeconds)
 {
 }
 
@@ -201,7 +206,7 @@
     if (!entry.report || entry.report->pacePercent == 0) {
         return averages.pace;
     }
-    const double trust = std::exp(-toSeconds(now - entry.reportedAt) / PaceMemorySeconds);
+    const double trust = std::exp(-toSeconds(now - entry.reportedAt) / m_slowPhase);
     return trust * entry.report->pacePercent / PercentScale + (1 - trust) * averages.pace;
 }
 
@@ -213,7 +218,7 @@
     const double known = cost.work > Duration::zero() ? toSeconds(cost.work) : averages.latency;
     const double usual = std::max(known, LeastWorkSeconds);
     const double pace = paceOf(entry, averages, now);
-    const double paced = std::min(usual * pace, usual + SlowPhaseSeconds * std::max(0.0, 1 - 1 / pace));
+    const double paced = std::min(usual * pace, usual + m_slowPhase * std::max(0.0, 1 - 1 / pace));
     const double latency = entry.latency > 0 ? entry.latency : averages.latency;
     const double ahead = std::max(0.0, estimate + 1 - limit);
     const double failures = std::max(0.0, failureShareOf(entry, now) - averages.failureShare);
@@ -242,8 +247,7 @@
         const double estimate = estimateInFlight(it.second, all, now);
         const bool earliest = m_options.strategy == RoutingStrategy::EarliestFinish;
         const double weight
-            = earliest ? -finishTime(it.second, estimate, all, cost, now) * (1 + Jitter * randomFraction(random))
-                       : weightOf(it.second, estimate, all, now);
+            = earliest ? -finishTime(it.second, estimate, all, cost, now) : weightOf(it.second, estimate, all, now);
         candidates.push_back({&it.second, weight, estimate});
     }
     if (candidates.empty()) {
@@ -283,6 +287,9 @@
 {
     const auto less = [](const Candidate &a, const Candidate &b) { return a.weight < b.weight; };
     const Candidate &best = *std::max_element(candidates.begin(), candidates.end(), less);
+    if (candidates.size() <= FewTargets) {
+        return best;
+    }
     std::vector<const Candidate *> good;
     std::vector<const Candidate *> nearby;
     for (const Candidate &it : candidates) {
@@ -295,10 +302,13 @@
         }
     }
     const Candidate *out = nullptr;
-    for (const auto *list : {&nearby, &good}) {
-        for (int i = 0; i < DrawsEach && !list->empty(); ++i) {
-            const Candidate *drawn = (*list)[randomBelow(random, list->size())];
-            out = out == nullptr || out->weight < drawn->weight ? drawn : out;
+    for (auto *list : {&nearby, &good}) {
+        for (std::size_t i = 0; i < DrawsEach && !list->empty(); ++i) {
+            const std::size_t drawn = randomBelow(random, list->size());
+            const Candidate *candidate = (*list)[drawn];
+            out = out == nullptr || out->weight < candidate->weight ? candidate : out;
+            (*list)[drawn] = list->back();
+            list->pop_back();
         }
     }
     return *out;
@@ -335,6 +345,7 @@
         return;
     }
     Entry &entry = it->second;
+    noteSlowPhase(entry, load, now);
     entry.report = load;
     entry.reportedAt = now;
     entry.startedSinceReport = 0;
@@ -343,6 +354,23 @@
     }
 }
 
+/// Learns how long slow phases last, which tells how long a reported pace holds and what it costs.
+void ServiceRouter::noteSlowPhase(Entry &entry, const LoadReport &load, TimePoint now)
+{
+    const bool slow = load.pacePercent >= SlowPacePercent;
+    if (slow && !entry.slowSince) {
+        entry.slowSince = now;
+    }
+    if (slow || !entry.slowSince) {
+        return;
+    }
+    // It ended at some time since the report before this one.
+    const TimePoint end = entry.reportedAt + (now - entry.reportedAt) / 2;
+    const double seconds = std::min(LongestSlowPhaseSeconds, toSeconds(end - *entry.slowSince));
+    entry.slowSince.reset();
+    m_slowPhase += SlowPhaseWeight * (seconds - m_slowPhase);
+}
+
 void ServiceRouter::finished(const std::string &target, const RouterOutcome &outcome, TimePoint now)
 {
     const auto it = m_entries.find(target);
--- a/tests/unit/placingtest.cpp
+++ b/tests/unit/placingtest.cpp
@@ -179,4 +179,36 @@
     CHECK(placing.remote * 2 < placing.requests);
 }
 
+TEST_CASE("The length of slow phases is learnt: a slow VM is worth using where they are short, not where they are long")
+{
+    const auto choiceAfterPhases = [](Duration length) {
+        RouterOptions options;
+        options.strategy = RoutingStrategy::EarliestFinish;
+        ServiceRouter router(options);
+        router.setTargets({{"slow", "", Slots, TargetState::Ready, true, "boot"},
+                           {"busy", "", Slots, TargetState::Ready, true, "boot"}},
+                          at(0s));
+        LoadReport slow;
+        slow.limit = Slots;
+        slow.pacePercent = SlowPace;
+        LoadReport usual = slow;
+        usual.pacePercent = UsualPace;
+        TimePoint now = at(1s);
+        for (int i = 0; i < 100; ++i) {
+            router.reported("slow", slow, now);
+            router.reported("slow", slow, now + length);
+            router.reported("slow", usual, now + length + 1ms);
+            now += 2s;
+        }
+        LoadReport busy = usual;
+        busy.inFlight = Slots - 1;
+        router.reported("slow", slow, now);
+        router.reported("busy", busy, now);
+        Random random(1);
+        return router.choose({}, now, random, {300ms})->target;
+    };
+    CHECK(choiceAfterPhases(100ms) == "slow");
+    CHECK(choiceAfterPhases(900ms) == "busy");
+}
+
 }
