What a worker said of its start does not end a cold phase after its data centre came back

The log of the guard: data centre taken back at 15.39 s, limit 11 (cold), at 16.1 s limit 14. Cause: a heartbeat tells how long the target is cold after its start, here 0, and that ended the cold phase that the guard had entered when the data centre came back. Only a probe that was sent since then may end it. Ruled out: a restart (boot unchanged), the rate bound itself (kept until then), a late probe (now excluded as well).

--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -53,6 +53,7 @@
     std::uint32_t slots = 0; ///< Requests at once that it says it bears.
     std::uint32_t connections = 0; ///< Connections at once that it says it bears.
     std::optional<Duration> coldLeft{}; ///< How much longer it stays cold, if it tells.
+    bool coldLeftIsCurrent = false; ///< Whether it was just asked; heartbeats tell of its start only, and may be late.
 };
 
 /// A request that asks for admission.
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -169,6 +169,7 @@
     std::vector<Address> beaconAddresses; // of all other nodes
     std::map<std::string, AttemptAge> attemptAges; // by route
     TimePoint started;
+    TimePoint intentApplied; // when the operators' state last changed here
     TimePoint stopBegun;
     bool guardLeft = false;
     std::atomic<bool> stopping = false;
@@ -299,6 +300,7 @@
         if (!services.applyChecked(update.revision, *std::move(bundle))) {
             return;
         }
+        intentApplied = clock.now();
         std::erase_if(attemptAges, [&](const auto &it) { return !routes.names(it.first); });
         local.applyPolicies();
         LogFields line;
@@ -421,12 +423,13 @@
                       LogFields().add("target", heartbeat.id).add("sequence", heartbeat.sequence));
             return AnnouncementResult::Stale;
         }
-        applyPresence(before, heartbeat.coldLeft);
+        applyPresence(before, heartbeat.coldLeft, false);
         return AnnouncementResult::Taken;
     }
 
-    /// Makes the guard follow what is known of the target.
-    void applyPresence(const std::optional<PresentTarget> &before, std::optional<Duration> coldLeft)
+    /// Makes the guard follow what is known of the target. What a probe told that was sent since the last change of
+    /// the state is current.
+    void applyPresence(const std::optional<PresentTarget> &before, std::optional<Duration> coldLeft, bool current)
     {
         const PresentTarget &now = *presence.current();
         const ServiceId service{ClusterFirm, now.said.service};
@@ -443,6 +446,7 @@
         out.target.slots = now.said.slots;
         // While the target cannot be reached, only a probe tells that it is warm.
         out.target.coldLeft = unreachable ? std::nullopt : coldLeft;
+        out.target.coldLeftIsCurrent = current;
         if (local.announce(out)) {
             reportSoon();
             tellLoad(true);
@@ -517,7 +521,7 @@
                           .add("target", probe->id)
                           .add("cold_ms", probe->coldLeft ? toMilliseconds(*probe->coldLeft) : -1.0));
         }
-        applyPresence(before, probe->coldLeft);
+        applyPresence(before, probe->coldLeft, lastProbe > intentApplied);
         if (const auto guarded = guardedTarget(); guarded && probe->pacePercent > 0) {
             guarded->setPace(probe->pacePercent);
         }
@@ -690,7 +694,7 @@
 {
     const auto before = m_impl->presence.current();
     if (m_impl->presence.left(id)) {
-        m_impl->applyPresence(before, std::nullopt);
+        m_impl->applyPresence(before, std::nullopt, false);
     }
 }
 
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -106,7 +106,8 @@
         enterCold(now);
     }
     if (announcement.coldLeft) {
-        m_coldUntil = now + *announcement.coldLeft;
+        const TimePoint until = now + *announcement.coldLeft;
+        m_coldUntil = restarted || announcement.coldLeftIsCurrent ? until : std::max(m_coldUntil, until);
     }
     if (restarted || becameReady || m_suspected) {
         startRamp(m_policy.coldSlots, now);
--- a/tests/unit/guardtest.cpp
+++ b/tests/unit/guardtest.cpp
@@ -139,6 +139,38 @@
     }
 }
 
+TEST_CASE("What a target said of its last start does not end a cold phase after its data centre came back")
+{
+    GuardPolicy in = policyOf(12);
+    in.coldTime = 3s;
+    in.coldPerSecond = 4;
+    Guard guard = warmGuard(in);
+    GuardPolicy out = in;
+    out.served = false;
+    out.revision = 2;
+    guard.setPolicy(out, at(10s));
+    in.revision = 3;
+    guard.setPolicy(in, at(20s));
+
+    TargetAnnouncement said{"boot-1", TargetState::Ready, 100, 240};
+    said.coldLeft = 0s;
+    guard.announced(said, at(20s + 100ms));
+    CHECK(admitAll(guard, at(20s + 200ms)) == 4);
+
+    SECTION("an answer of the target itself does end it")
+    {
+        said.coldLeftIsCurrent = true;
+        guard.announced(said, at(20s + 300ms));
+        CHECK(admitAll(guard, at(20s + 400ms), 2000) > 0);
+    }
+    SECTION("what it says of a longer cold phase is believed")
+    {
+        said.coldLeft = 5s;
+        guard.announced(said, at(20s + 300ms));
+        CHECK(guard.load(at(24s)).limit < 12);
+    }
+}
+
 TEST_CASE("An older revision never replaces a newer one")
 {
     Guard guard = warmGuard(policyOf(12));
