--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -34,7 +34,7 @@
     WeightedFree, ///< Draw by estimated free slots, health and latency.
     PowerOfTwo, ///< Draw two at random and take the one with the lower estimated load.
     UniformRandom, ///< Draw at random; the naive baseline.
-    EarliestFinish, ///< Take the target that is expected to finish first; needs load reports several times a second.
+    EarliestFinish, ///< Of a few that are drawn, take the one that is expected to finish first; needs frequent reports.
 };
 
 /// How a router behaves.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -36,6 +36,8 @@
 constexpr double FirstSlowPhaseSeconds = 0.25;
 /// Longest slow phase that counts as one, in seconds; what lasts longer is a target that has turned slow.
 constexpr double LongestSlowPhaseSeconds = 1.0;
+/// Shortest one, in seconds: the average is divided by.
+constexpr double LeastSlowPhaseSeconds = 0.02;
 /// Share of one slow phase in the average length; about the last twenty count.
 constexpr double SlowPhaseWeight = 0.05;
 /// Extra time at a target in another data centre, in seconds: two ways across.
@@ -366,7 +368,8 @@
     }
     // It ended at some time since the report before this one.
     const TimePoint end = entry.reportedAt + (now - entry.reportedAt) / 2;
-    const double seconds = std::min(LongestSlowPhaseSeconds, toSeconds(end - *entry.slowSince));
+    const double seconds
+        = std::clamp(toSeconds(end - *entry.slowSince), LeastSlowPhaseSeconds, LongestSlowPhaseSeconds);
     entry.slowSince.reset();
     m_slowPhase += SlowPhaseWeight * (seconds - m_slowPhase);
 }
