--- a/include/shallotrelay/bundle/bundle.h
+++ b/include/shallotrelay/bundle/bundle.h
@@ -34,7 +34,7 @@
     bool operator==(const TargetBounds &other) const = default;
 };
 
-/// How a service is to be served.
+/// How a service is run and bounded.
 struct ServicePolicy {
     TargetBounds bounds; ///< Bounds of each target that has none of its own.
     std::map<std::string, TargetBounds> targetBounds; ///< Bounds by name of the target.
--- a/include/shallotrelay/bundle/ledger.h
+++ b/include/shallotrelay/bundle/ledger.h
@@ -15,7 +15,7 @@
 
 /// What became of a submitted bundle.
 enum class SubmitVerdict {
-    Accepted, ///< It is in force under a new revision.
+    Accepted, ///< It is applied under a new revision.
     SameAsAccepted, ///< The same bundle was accepted before; the revision is the one given then.
     Conflict, ///< Another bundle holds the version.
     Refused, ///< It is faulty, not signed off, or not above the accepted version.
--- a/include/shallotrelay/bundle/route.h
+++ b/include/shallotrelay/bundle/route.h
@@ -40,7 +40,7 @@
 struct Route {
     std::string name; ///< Name, unique in the bundle.
     std::string host; ///< The host, in lower case.
-    std::string pathPrefix; ///< Begins and ends with a slash.
+    std::string prefix; ///< Begins and ends with a slash.
     RouteKind kind = RouteKind::Idempotent; ///< What the requests are like.
     Duration timeout{}; ///< Longest time that a caller is kept waiting.
     Duration objective{}; ///< Time within which an answer is wanted.
--- a/include/shallotrelay/consensus/replica.h
+++ b/include/shallotrelay/consensus/replica.h
@@ -1,8 +1,8 @@
 /// One replica of the replicated log: elections, replication, membership and confirmed reads, after Raft.
 ///
 /// Use it for state that must survive the loss of some VMs. The replica does no I/O and reads no clock. Feed it
-/// messages and the time, then take() what is to be done, in this order: send the messages of `now`, store what is to
-/// be stored and sync it, call stored(), send the messages of `afterSync`, and apply the committed entries.
+/// messages and the time, then take() the output and handle it in this order: send the messages of `now`, store and
+/// sync what is new, call stored(), send the messages of `afterSync`, and apply the committed entries.
 ///
 ///     Replica replica(options, recovered, random, now);
 ///     replica.receive(message, now);
@@ -65,19 +65,19 @@
     std::vector<ConsensusEntry> entries; ///< The entries behind the snapshot, without gaps.
 };
 
-/// What is to be done after an event.
+/// What the user of a replica does after an event.
 struct ReplicaOutput {
     std::vector<ConsensusMessage> now; ///< Messages that may go at once.
     std::optional<ReplicaSnapshot> snapshot; ///< To be stored first; replaces all that was stored before.
     std::optional<HardState> hardState; ///< To be stored.
     std::vector<ConsensusEntry> entries; ///< To be stored; an entry replaces those from its index on.
     std::vector<ConsensusMessage> afterSync; ///< Messages that go once all of the above is synced.
-    std::optional<ReplicaSnapshot> restored; ///< The state machine is to be replaced by this.
+    std::optional<ReplicaSnapshot> restored; ///< Replaces the state machine.
     std::vector<ConsensusEntry> committed; ///< To be applied, in order.
     std::vector<std::uint64_t> readsConfirmed; ///< Reads that may be answered from the applied state.
     std::vector<std::uint64_t> readsFailed; ///< Reads that this replica cannot answer.
 
-    /// Returns whether something is to be stored.
+    /// Returns whether there is something to store.
     bool stores() const;
 };
 
@@ -108,7 +108,7 @@
     /// Drops the entries up to an applied one in favour of the state machine as of that entry.
     void compact(std::uint64_t index, std::string data);
 
-    /// Returns what is to be done and forgets it.
+    /// Returns the output of the events so far and forgets it.
     ReplicaOutput take();
 
     /// Returns its role.
@@ -170,8 +170,9 @@
     const Progress *longestSilent(Duration bound, TimePoint now) const;
     void takeVoteRequest(const ConsensusMessage &message, TimePoint now);
     void takeVoteReply(const ConsensusMessage &message, TimePoint now);
-    void takeAppend(const ConsensusMessage &message, TimePoint now);
-    void takeSnapshot(const ConsensusMessage &message, TimePoint now);
+    void takeFromLeader(const ConsensusMessage &message, TimePoint now);
+    bool takeAppend(const ConsensusMessage &message, ConsensusMessage *reply);
+    bool takeSnapshot(const ConsensusMessage &message, ConsensusMessage *reply);
     void takeAppendReply(const ConsensusMessage &message, TimePoint now);
     void followLeader(const ConsensusMessage &message, TimePoint now);
     bool appendEntries(const std::vector<ConsensusEntry> &entries);
--- a/include/shallotrelay/intent/intentledger.h
+++ b/include/shallotrelay/intent/intentledger.h
@@ -20,7 +20,7 @@
 
 /// What became of an order.
 enum class IntentVerdict {
-    Accepted, ///< It is in force.
+    Accepted, ///< It is part of the state.
     Repeated, ///< The same order was accepted before.
     Superseded, ///< Another version than the one it builds on is current.
     Outdated, ///< Its version is not above the current one.
--- a/include/shallotrelay/routing/callplan.h
+++ b/include/shallotrelay/routing/callplan.h
@@ -33,7 +33,7 @@
 /// Returns the name of a reason for logs.
 const char *toString(TryReason reason);
 
-/// A try that is to be made.
+/// A try before it is made.
 struct PlannedTry {
     RouterChoice choice; ///< The target.
     TryReason reason = TryReason::First; ///< Why it is tried.
--- a/include/shallotrelay/storage/replicalog.h
+++ b/include/shallotrelay/storage/replicalog.h
@@ -22,7 +22,7 @@
     ReplicaDisk disk; ///< Term, vote, snapshot and entries.
 };
 
-/// Part of a ReplicaOutput that is to be stored.
+/// The part of a ReplicaOutput that is stored.
 struct ReplicaBatch {
     std::optional<ReplicaSnapshot> snapshot; ///< Replaces all that was stored before.
     std::optional<HardState> hardState; ///< Term and vote.
--- a/src/bundle/bundle.cpp
+++ b/src/bundle/bundle.cpp
@@ -118,7 +118,7 @@
     ObjectReader reader(object, path, status);
     route.name = reader.name("name");
     route.host = absl::AsciiStrToLower(reader.text("host"));
-    route.pathPrefix = reader.text("path");
+    route.prefix = reader.text("path");
     route.kind = readRouteKind(reader);
     route.timeout = std::chrono::milliseconds(reader.number("timeout_ms", 1, MaxTimeoutMs));
     route.objective = std::chrono::milliseconds(reader.numberOr("objective_ms", 0, 0, MaxTimeoutMs));
@@ -250,7 +250,7 @@
         if (!names.insert(route.name).second) {
             return fault("another route has the same name");
         }
-        if (!places.emplace(route.host, route.pathPrefix).second) {
+        if (!places.emplace(route.host, route.prefix).second) {
             return fault("another route has the same host and path");
         }
     }
--- a/src/bundle/route.cpp
+++ b/src/bundle/route.cpp
@@ -22,7 +22,7 @@
     if (route.host.empty()) {
         return absl::InvalidArgumentError("host: must not be empty");
     }
-    if (route.pathPrefix.empty() || route.pathPrefix.front() != '/' || route.pathPrefix.back() != '/') {
+    if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
         return absl::InvalidArgumentError("path: must begin and end with a slash");
     }
     if (route.timeout <= Duration::zero() || route.timeout > MaxRouteTimeout) {
@@ -64,7 +64,7 @@
 {
     for (const Route &it : routes) {
         m_names.insert(it.name);
-        m_hosts[it.host][it.pathPrefix] = it;
+        m_hosts[it.host][it.prefix] = it;
     }
 }
 
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -462,7 +462,7 @@
     return {entry.index, entry.term};
 }
 
-/// Notes what a new entry of the log changes and that it is to be stored.
+/// Notes what a new entry of the log changes and has it stored.
 void Replica::storeEntry(const ConsensusEntry &entry)
 {
     m_output.entries.push_back(entry);
@@ -547,14 +547,12 @@
         takeVoteReply(in, now);
         break;
     case ConsensusKind::Append:
-        takeAppend(in, now);
+    case ConsensusKind::Snapshot:
+        takeFromLeader(in, now);
         break;
     case ConsensusKind::AppendReply:
         takeAppendReply(in, now);
         break;
-    case ConsensusKind::Snapshot:
-        takeSnapshot(in, now);
-        break;
     }
 }
 
@@ -614,27 +612,35 @@
     }
 }
 
-void Replica::takeAppend(const ConsensusMessage &in, TimePoint now)
+void Replica::takeFromLeader(const ConsensusMessage &in, TimePoint now)
 {
     ConsensusMessage out = message(ConsensusKind::AppendReply, in.from);
     out.round = in.round;
-    if (in.term < m_hardState.term) {
-        m_output.afterSync.push_back(std::move(out));
-        return;
+    if (in.term >= m_hardState.term) {
+        followLeader(in, now);
+        const bool append = in.kind == ConsensusKind::Append;
+        const bool readable = append ? takeAppend(in, &out) : takeSnapshot(in, &out);
+        if (!readable) {
+            return;
+        }
     }
-    followLeader(in, now);
+    m_output.afterSync.push_back(std::move(out));
+}
+
+/// Takes entries in and fills the reply.
+bool Replica::takeAppend(const ConsensusMessage &in, ConsensusMessage *reply)
+{
     const bool known = in.index < m_snapshot.index || (in.index <= lastIndex() && termAt(in.index) == in.logTerm);
     if (!known) {
-        out.index = std::min(lastIndex(), in.index - 1);
-        m_output.afterSync.push_back(std::move(out));
-        return;
+        reply->index = std::min(lastIndex(), in.index - 1);
+        return true;
     }
-    out.granted = appendEntries(in.entries);
-    out.index = std::max(in.index + in.entries.size(), m_snapshot.index);
-    if (out.granted) {
-        commitTo(std::min(in.commit, out.index));
+    reply->granted = appendEntries(in.entries);
+    reply->index = std::max(in.index + in.entries.size(), m_snapshot.index);
+    if (reply->granted) {
+        commitTo(std::min(in.commit, reply->index));
     }
-    m_output.afterSync.push_back(std::move(out));
+    return true;
 }
 
 bool Replica::appendEntries(const std::vector<ConsensusEntry> &entries)
@@ -656,18 +662,12 @@
     return true;
 }
 
-void Replica::takeSnapshot(const ConsensusMessage &in, TimePoint now)
+/// Takes a snapshot in and fills the reply; false if it cannot be read.
+bool Replica::takeSnapshot(const ConsensusMessage &in, ConsensusMessage *reply)
 {
-    ConsensusMessage out = message(ConsensusKind::AppendReply, in.from);
-    out.round = in.round;
-    if (in.term < m_hardState.term) {
-        m_output.afterSync.push_back(std::move(out));
-        return;
-    }
-    followLeader(in, now);
     const auto snapshot = decodeMessage<ReplicaSnapshot>(in.snapshot);
     if (!snapshot.ok()) {
-        return;
+        return false;
     }
     if (snapshot->index > m_commit) {
         m_entries.clear();
@@ -682,9 +682,9 @@
         m_output.hardState = m_hardState;
         m_output.restored = *snapshot;
     }
-    out.granted = true;
-    out.index = snapshot->index;
-    m_output.afterSync.push_back(std::move(out));
+    reply->granted = true;
+    reply->index = snapshot->index;
+    return true;
 }
 
 void Replica::takeAppendReply(const ConsensusMessage &in, TimePoint now)
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -160,8 +160,7 @@
     TimePoint nextProbe;
     TimePoint lastProbe;
     bool unreachable = false;
-    std::map<std::string, std::uint64_t> beaconSeen; // sequence of the last beacon, by target
-    std::map<std::string, std::uint64_t> beaconStart; // incarnation of its node
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> beaconSeen; // incarnation and sequence, by target
     std::uint64_t beaconSequence = 0;
     LoadReport told;
     TimePoint toldAt;
@@ -529,14 +528,12 @@
 
     void takeBeacon(const LoadBeacon &beacon)
     {
-        std::uint64_t &start = beaconStart[beacon.target];
-        std::uint64_t &sequence = beaconSeen[beacon.target];
-        const bool late = beacon.incarnation < start || (beacon.incarnation == start && beacon.sequence <= sequence);
-        if (late) {
+        auto &seen = beaconSeen[beacon.target];
+        const std::pair current(beacon.incarnation, beacon.sequence);
+        if (current <= seen) {
             return;
         }
-        start = beacon.incarnation;
-        sequence = beacon.sequence;
+        seen = current;
         services.noteLoad({ClusterFirm, beacon.service}, beacon.target, beacon.load);
     }
 
--- a/src/daemon/clusternode.h
+++ b/src/daemon/clusternode.h
@@ -35,7 +35,7 @@
 
 /// What became of an announcement of the target.
 enum class AnnouncementResult {
-    Taken, ///< It is in force at the guard.
+    Taken, ///< The guard follows it.
     Stale, ///< It is older than what is known.
 };
 
--- a/src/daemon/intentstore.cpp
+++ b/src/daemon/intentstore.cpp
@@ -42,7 +42,7 @@
     return address + "#first";
 }
 
-/// Adds what is to be stored later to what is to be stored already.
+/// Adds later output to what waits for the disk.
 void merge(ReplicaBatch *batch, ReplicaOutput &output)
 {
     if (output.snapshot) {
@@ -360,7 +360,7 @@
                       .add("verdict", toString(verdict))
                       .add("kind", toString(order->kind))
                       .add("version", order->version)
-                      .add("base", order->baseVersion)
+                      .add("base", order->basedOn)
                       .add("data_centre", order->dataCentre));
         const auto it = orders.find(entry.index);
         if (it != orders.end()) {
--- a/src/daemon/localtargets.h
+++ b/src/daemon/localtargets.h
@@ -56,7 +56,7 @@
     /// Announces all targets as leaving, for a planned stop of the node.
     void leaveAll();
 
-    /// Passes the bundles that are in force on to the guards.
+    /// Passes the bundles that are applied on to the guards.
     void applyPolicies();
 
     /// Lets the guards notice slowness and end waiting.
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -1,5 +1,7 @@
 #include "shallotrelay/guard/guard.h"
 
+#include "shallotrelay/limits/slowphase.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,8 +29,8 @@
 constexpr double PercentScale = 100;
 /// A pace up to this counts as usual, in percent.
 constexpr std::uint32_t UsualPacePercent = 130;
-/// Longest time by which a slow phase of the VM delays a request, in seconds.
-constexpr double SlowPhaseSeconds = 0.15;
+/// Longest time by which a slow phase of the VM delays a request.
+constexpr Seconds SlowPhase(0.15);
 /// Part of the limit above which a target counts as busy.
 constexpr double BusyShare = 0.85;
 /// Routes whose work is remembered; a bound against routes that come and go.
@@ -296,7 +298,8 @@
     const std::size_t running = std::min<std::size_t>(m_running.size() + 1, limit(now));
     const double crowded = usual * m_slowdown.factor(useAt(running));
     const double pace = std::max(1.0, m_pacePercent / PercentScale);
-    return fromSeconds(std::max(average, std::min(crowded * pace, crowded + SlowPhaseSeconds * (1 - 1 / pace))));
+    const Seconds paced = timeInSlowPhase(Seconds(crowded), pace, SlowPhase);
+    return fromSeconds(std::max(average, paced.count()));
 }
 
 /// Returns whether less urgent requests share the target; these make room for it rather than it being turned away.
--- a/src/intent/intentledger.cpp
+++ b/src/intent/intentledger.cpp
@@ -33,7 +33,7 @@
     if (accepted(order.version, order.digest)) {
         return IntentVerdict::Repeated;
     }
-    if (order.baseVersion != m_version) {
+    if (order.basedOn != m_version) {
         return IntentVerdict::Superseded;
     }
     return order.version > m_version ? IntentVerdict::Accepted : IntentVerdict::Outdated;
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -16,7 +16,7 @@
 struct AnswerCheck {
     enum class Kind {
         Answer, ///< It is the target's answer to the request.
-        OtherRequest, ///< It answers another request and is to be skipped.
+        OtherRequest, ///< It answers another request and is skipped.
         Rejected, ///< The target says that it did not run the request.
         Invalid, ///< It is no answer that may be passed on.
     };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,5 +1,7 @@
 #include "shallotrelay/routing/router.h"
 
+#include "shallotrelay/limits/slowphase.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -220,7 +222,7 @@
     const double known = cost.work > Duration::zero() ? toSeconds(cost.work) : averages.latency;
     const double usual = std::max(known, LeastWorkSeconds);
     const double pace = paceOf(entry, averages, now);
-    const double paced = std::min(usual * pace, usual + m_slowPhase * std::max(0.0, 1 - 1 / pace));
+    const double paced = timeInSlowPhase(Seconds(usual), pace, Seconds(m_slowPhase)).count();
     const double latency = entry.latency > 0 ? entry.latency : averages.latency;
     const double ahead = std::max(0.0, estimate + 1 - limit);
     const double failures = std::max(0.0, failureShareOf(entry, now) - averages.failureShare);
--- a/src/wire/packedtext.cpp
+++ b/src/wire/packedtext.cpp
@@ -22,6 +22,16 @@
 constexpr std::size_t PaddingBytes = 4;
 constexpr char Padding = '\xff';
 
+zlib::z_params paramsOf(std::string_view in, std::string *out)
+{
+    zlib::z_params params{};
+    params.next_in = in.data();
+    params.avail_in = in.size();
+    params.next_out = out->data();
+    params.avail_out = out->size();
+    return params;
+}
+
 }
 
 std::string packText(std::string_view text)
@@ -29,11 +39,7 @@
     zlib::deflate_stream stream;
     stream.reset(Level, WindowBits, MemoryLevel, zlib::Strategy::normal);
     std::string out(stream.upper_bound(text.size()) + EndBytes, '\0');
-    zlib::z_params params{};
-    params.next_in = text.data();
-    params.avail_in = text.size();
-    params.next_out = out.data();
-    params.avail_out = out.size();
+    zlib::z_params params = paramsOf(text, &out);
     boost::system::error_code ec;
     stream.write(params, zlib::Flush::finish, ec);
     out.resize(params.total_out);
@@ -49,11 +55,7 @@
     // The library sees the end of a stream only with room for more output and more input.
     std::string out(bytes + 1, '\0');
     const std::string padded = std::string(packed) + std::string(PaddingBytes, Padding);
-    zlib::z_params params{};
-    params.next_in = padded.data();
-    params.avail_in = padded.size();
-    params.next_out = out.data();
-    params.avail_out = out.size();
+    zlib::z_params params = paramsOf(padded, &out);
     boost::system::error_code ec;
     stream.write(params, zlib::Flush::finish, ec);
     const bool whole
--- a/tests/unit/intenttest.cpp
+++ b/tests/unit/intenttest.cpp
@@ -16,7 +16,7 @@
 {
     IntentOrder out;
     out.kind = IntentKind::State;
-    out.baseVersion = base;
+    out.basedOn = base;
     out.version = version;
     out.digest = digest;
     out.document = "document of " + digest;
@@ -28,7 +28,7 @@
     Route out;
     out.name = name;
     out.host = "news.example";
-    out.pathPrefix = prefix;
+    out.prefix = prefix;
     out.timeout = 500ms;
     out.objective = 200ms;
     out.services = {{"redactie", 1}};
@@ -123,7 +123,7 @@
     CHECK(faultOf([](Route &it) { it.timeout = 601s; }).find("timeout") == 0);
     CHECK(faultOf([](Route &it) { it.objective = it.timeout + 60s; }).find("objective") == 0);
     CHECK(faultOf([](Route &it) { it.maxTargets = 0; }).find("max_tries") == 0);
-    CHECK(faultOf([](Route &it) { it.pathPrefix = "/a"; }).find("path") == 0);
+    CHECK(faultOf([](Route &it) { it.prefix = "/a"; }).find("path") == 0);
     CHECK(faultOf([](Route &it) { it.services = {{"redactie", 0}}; }).find("to") == 0);
 }
 
--- a/tests/unit/platformwiretest.cpp
+++ b/tests/unit/platformwiretest.cpp
@@ -213,7 +213,7 @@
     const auto order = parseOrder(change.dump(), false);
     REQUIRE(order.ok());
     CHECK(order->version == 9);
-    CHECK(order->baseVersion == 7);
+    CHECK(order->basedOn == 7);
     const auto state = applyOrder(*order, sampleState(7).dump());
     REQUIRE(state.ok());
     const auto after = nlohmann::json::parse(*state);
@@ -230,7 +230,7 @@
     CHECK_FALSE(parseOrder("{\"routes\":[]}", true).ok());
     CHECK_FALSE(parseOrder("{\"version\":3,\"baseVersion\":\"x\"}", true).ok());
     CHECK_FALSE(parseOrder(sampleState(3).dump().substr(0, 100), true).ok());
-    CHECK(parseOrder(sampleState(3).dump(), true)->baseVersion == 0);
+    CHECK(parseOrder(sampleState(3).dump(), true)->basedOn == 0);
 }
 
 TEST_CASE("Hostile bytes never become a state or a heartbeat by chance")
--- a/tests/unit/waitinglinetest.cpp
+++ b/tests/unit/waitinglinetest.cpp
@@ -23,6 +23,19 @@
     return out;
 }
 
+/// A guard whose target is ready for four requests at once.
+Guard readyGuard()
+{
+    Guard guard;
+    GuardPolicy policy;
+    policy.served = true;
+    policy.slots = 4;
+    policy.connections = 10;
+    guard.setPolicy(policy, at(0s));
+    guard.announced({"boot-1", TargetState::Ready, 4, 10}, at(0s));
+    return guard;
+}
+
 }
 
 TEST_CASE("A burst: as many wait as can finish within their objective, the rest is refused on arrival")
@@ -116,13 +129,7 @@
 
 TEST_CASE("A target that cannot be reached is held, and the hold ends")
 {
-    Guard guard;
-    GuardPolicy policy;
-    policy.served = true;
-    policy.slots = 4;
-    policy.connections = 10;
-    guard.setPolicy(policy, at(0s));
-    guard.announced({"boot-1", TargetState::Ready, 4, 10}, at(0s));
+    Guard guard = readyGuard();
     guard.holdUntil(at(1s));
     CHECK(guard.offer({1, at(5s), true}, at(500ms)).refusal == GuardRefusal::Held);
     CHECK(guard.load(at(500ms)).limit == 0);
@@ -131,13 +138,7 @@
 
 TEST_CASE("The share of repeated runs is told while they are in flight")
 {
-    Guard guard;
-    GuardPolicy policy;
-    policy.served = true;
-    policy.slots = 4;
-    policy.connections = 10;
-    guard.setPolicy(policy, at(0s));
-    guard.announced({"boot-1", TargetState::Ready, 4, 10}, at(0s));
+    Guard guard = readyGuard();
     GuardOffer offer{1, at(5s), true};
     offer.repeats = true;
     guard.offer(offer, at(0s));
