Log what ran at a target when it crashed, and requests that are sent again on a new connection

Attempts of one request had nothing in common in the logs, a crash had no line at all, and a send on a new connection after a cut-off went unseen. A crash is told from a cut-off connection by a second sign: nothing listens at the address, or another start stands there. Decisions on requests are unchanged.

--- /dev/null
+++ b/src/containment/requestprint.cpp
@@ -0,0 +1,100 @@
+#include "shallotrelay/containment/requestprint.h"
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace shallotrelay
+{
+namespace
+{
+
+class Hash
+{
+public:
+    Hash()
+    {
+        crypto_generichash_init(&m_state, nullptr, 0, HashBytes);
+    }
+
+    /// Takes in a text with its length, so that no two lists of texts give the same bytes.
+    void addText(std::string_view text)
+    {
+        const std::uint64_t size = text.size();
+        addBytes(&size, sizeof size);
+        addBytes(text.data(), text.size());
+    }
+
+    void addBytes(const void *data, std::size_t size)
+    {
+        crypto_generichash_update(&m_state, static_cast<const unsigned char *>(data), size);
+    }
+
+    /// Returns the hash of what was taken in so far.
+    std::uint64_t value() const
+    {
+        crypto_generichash_state copy = m_state;
+        std::array<unsigned char, HashBytes> bytes{};
+        crypto_generichash_final(&copy, bytes.data(), bytes.size());
+        std::uint64_t out = 0;
+        std::memcpy(&out, bytes.data(), sizeof out);
+        return out;
+    }
+
+private:
+    static constexpr std::size_t HashBytes = crypto_generichash_BYTES_MIN;
+
+    crypto_generichash_state m_state{};
+};
+
+}
+
+struct RequestPrinter::Body {
+    Hash hash;
+    std::size_t bytes = 0;
+};
+
+std::uint64_t printOfHead(const RequestHead &head)
+{
+    Hash hash;
+    hash.addText(head.method);
+    hash.addText(head.path);
+    hash.addText(head.callerService);
+    return hash.value();
+}
+
+RequestPrinter::RequestPrinter(const RequestHead &head)
+    : m_head(printOfHead(head))
+{
+}
+
+RequestPrinter::~RequestPrinter() = default;
+
+void RequestPrinter::addBody(std::string_view part)
+{
+    if (!m_body) {
+        m_body = std::make_unique<Body>();
+        m_body->hash.addBytes(&m_head, sizeof m_head);
+    }
+    const std::size_t size = std::min(part.size(), PrintedBodyBytes - m_body->bytes);
+    m_body->hash.addBytes(part.data(), size);
+    m_body->bytes += size;
+}
+
+RequestPrint RequestPrinter::print() const
+{
+    RequestPrint out;
+    out.head = m_head;
+    out.whole = m_body && m_body->bytes > 0 ? m_body->hash.value() : m_head;
+    return out;
+}
+
+std::string toString(const RequestPrint &print)
+{
+    return fmt::format("{:016x}", print.whole);
+}
+
+}
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -432,6 +432,11 @@
     {
         const PresentTarget &now = *presence.current();
         const ServiceId service{ClusterFirm, now.said.service};
+        if (before && before->start != now.start && !before->said.leaving) {
+            if (const auto guarded = local.find({ClusterFirm, before->said.service}, before->said.id)) {
+                guarded->signOfCrash(CrashEvidence::NewStart);
+            }
+        }
         const bool replaced = before && (before->said.id != now.said.id || before->said.service != now.said.service);
         if (replaced) {
             local.remove({ClusterFirm, before->said.service}, before->said.id);
@@ -501,6 +506,9 @@
     void takeProbe(const absl::StatusOr<TargetProbe> &probe)
     {
         if (!probe.ok()) {
+            if (const auto guarded = guardedTarget(); guarded && nothingListens(probe.status())) {
+                guarded->signOfCrash(CrashEvidence::NothingListens);
+            }
             if (!unreachable) {
                 log.write(LogLevel::Warn, "probe", LogFields().add("error", std::string(probe.status().message())));
             }
@@ -521,8 +529,11 @@
                           .add("cold_ms", probe->coldLeft ? toMilliseconds(*probe->coldLeft) : -1.0));
         }
         applyPresence(before, probe->coldLeft, lastProbe > intentApplied);
-        if (const auto guarded = guardedTarget(); guarded && probe->pacePercent > 0) {
-            guarded->setPace(probe->pacePercent);
+        if (const auto guarded = guardedTarget()) {
+            guarded->alive(lastProbe);
+            if (probe->pacePercent > 0) {
+                guarded->setPace(probe->pacePercent);
+            }
         }
     }
 
--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -1,6 +1,7 @@
 #include "daemon/localtargets.h"
 
 #include "bundle/jsonreader.h"
+#include "shallotrelay/containment/requestprint.h"
 
 namespace shallotrelay
 {
@@ -89,6 +90,8 @@
         options.stallTimeout = m_options.stallTimeout;
         options.onDecision
             = [this](const RequestHead &request, const GuardDecision &decision) { noteDecision(request, decision); };
+        options.onCrash = [this, name = announcement.name](const Crash &crash) { noteCrash(name, crash); };
+        options.onResend = [this](const RequestHead &request, Duration after) { noteResend(request, after); };
         entry.guarded = std::make_shared<GuardedTarget>(options);
         const ClaimOwner self{m_options.peerAddress, announcement.name, m_options.incarnation};
         entry.keyed = std::make_shared<KeyedTarget>(entry.guarded, m_keys, self, *m_options.clock);
@@ -132,6 +135,32 @@
     m_log.write(LogLevel::Info, "guard", line);
 }
 
+void LocalTargets::noteCrash(const std::string &target, const Crash &crash)
+{
+    m_metrics.counter("shallotrelay_target_crashes_total", "Crashes of targets that were running requests").Increment();
+    LogFields line;
+    line.add("target", target).add("evidence", toString(crash.evidence));
+    line.add("evidence_age_ms", toMilliseconds(crash.age));
+    std::string runs;
+    for (const WatchedRun &it : crash.runs) {
+        runs += (runs.empty() ? "" : " ") + toString(it.print) + "/" + it.requestId;
+    }
+    line.add("runs", runs);
+    m_log.write(LogLevel::Warn, "target-crash", line);
+    if (m_options.targets.onCrash) {
+        m_options.targets.onCrash(crash);
+    }
+}
+
+void LocalTargets::noteResend(const RequestHead &request, Duration after)
+{
+    m_metrics.counter("shallotrelay_resends_total", "Requests sent again on a new connection to the same target")
+        .Increment();
+    LogFields line;
+    line.add("request", request.requestId).add("target", request.target).add("after_ms", toMilliseconds(after));
+    m_log.write(LogLevel::Info, "resend", line);
+}
+
 void LocalTargets::remove(const ServiceId &service, const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -2,6 +2,7 @@
 
 #include "net/connectionpool.h"
 #include "net/targetconnection.h"
+#include "shallotrelay/containment/requestprint.h"
 #include "shallotrelay/retry/retry.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -102,6 +103,36 @@
         wake(guard.finished(ticket, outcome, options.clock->now()));
     }
 
+    void noteRun(GuardTicket ticket, WatchedRun run)
+    {
+        const std::lock_guard lock(mutex);
+        crashes.started(ticket, std::move(run), options.clock->now());
+    }
+
+    void noteRunEnd(GuardTicket ticket)
+    {
+        const std::lock_guard lock(mutex);
+        crashes.ended(ticket);
+    }
+
+    void noteCutOff(GuardTicket ticket)
+    {
+        const std::lock_guard lock(mutex);
+        crashes.cutOff(ticket, options.clock->now());
+    }
+
+    void signOfCrash(CrashEvidence evidence)
+    {
+        std::optional<Crash> crash;
+        {
+            const std::lock_guard lock(mutex);
+            crash = crashes.signOfCrash(evidence, options.clock->now());
+        }
+        if (crash && options.onCrash) {
+            options.onCrash(*crash);
+        }
+    }
+
     /// Idle connections that may be kept without ever opening more than the bound together with those in use.
     std::size_t idleBound()
     {
@@ -114,6 +145,7 @@
     GuardedTargetOptions options;
     mutable std::mutex mutex;
     Guard guard;
+    CrashWatch crashes;
     std::map<GuardTicket, std::shared_ptr<Waiter>> waiters;
     GuardTicket lastTicket = 0;
     Address address;
@@ -139,6 +171,7 @@
 
     ~Slot()
     {
+        m_impl->noteRunEnd(m_ticket);
         if (m_waiter) {
             leaveQueue();
         } else if (m_admitted && m_connection && !m_headSeen) {
@@ -189,6 +222,12 @@
         return *m_connection;
     }
 
+    /// Returns what identifies the request at the guard.
+    GuardTicket ticket() const
+    {
+        return m_ticket;
+    }
+
     /// Takes the connection back.
     ConnectionPointer takeConnection()
     {
@@ -297,11 +336,13 @@
         , m_sink(sink)
         , m_progress(progress)
         , m_deadline(deadline)
+        , m_printer(head)
     {
     }
 
     asio::awaitable<ExchangeResult> run(Slot &slot)
     {
+        m_ticket = slot.ticket();
         m_executor = co_await asio::this_coro::executor;
         const auto executor = m_executor;
         bool fresh = m_head.bodyKind != BodyKind::None || !m_head.repeatable;
@@ -325,6 +366,10 @@
             slot.takeConnection();
             if (!fresh && m_progress.execution == Execution::Unknown && !m_progress.answerStarted) {
                 fresh = true;
+                m_impl.noteCutOff(m_ticket);
+                if (m_impl.options.onResend) {
+                    m_impl.options.onResend(m_head, m_impl.options.clock->now() - m_sentAt);
+                }
                 continue;
             }
             co_return cutOff(slot, status);
@@ -382,17 +427,24 @@
                 head.headers.push_back(std::move(it));
             }
         }
+        m_sentAt = m_impl.options.clock->now();
         const absl::Status sent = co_await connection.write(requestHeadText(head, host), m_impl.options.stallTimeout);
         if (!sent.ok()) {
             co_return sent;
         }
         if (m_head.bodyKind == BodyKind::None) {
+            noteWholeRequest();
             co_return co_await relayAnswer(slot, connection);
         }
         const auto first = co_await (relayAnswer(slot, connection) || relayBody(connection));
         co_return first.index() == 0 ? std::get<0>(first) : std::get<1>(first);
     }
 
+    void noteWholeRequest()
+    {
+        m_impl.noteRun(m_ticket, {m_printer.print(), m_head.requestId});
+    }
+
     /// Relays the request body; ends only if that fails, since the answer decides when the exchange is over.
     asio::awaitable<absl::Status> relayBody(TargetConnection &connection)
     {
@@ -402,6 +454,7 @@
                 co_return part.status();
             }
             const bool end = part->empty();
+            m_printer.addBody(*part);
             std::string bytes;
             if (m_head.bodyKind == BodyKind::Streamed) {
                 appendChunk(&bytes, *part);
@@ -411,6 +464,9 @@
             // A target may answer before it has read the whole body, so a failed write is not yet the end.
             const absl::Status status = co_await connection.write(std::move(bytes), m_impl.options.stallTimeout);
             m_bodySent = end && status.ok();
+            if (m_bodySent) {
+                noteWholeRequest();
+            }
             if (end || !status.ok()) {
                 co_await sleepForever();
             }
@@ -459,6 +515,7 @@
         constexpr std::uint16_t ServiceUnavailable = 503;
         slot.failed();
         m_progress.execution = Execution::NotRun;
+        m_impl.noteRunEnd(m_ticket);
         m_result.execution = Execution::NotRun;
         m_result.status = ServiceUnavailable;
         m_result.reason = "rejected by the target";
@@ -481,6 +538,7 @@
         constexpr std::uint16_t FirstServerError = 500;
         m_result.status = head->status;
         m_result.headLatency = slot.headArrived(head->status >= FirstServerError);
+        m_impl.noteRunEnd(m_ticket);
         m_progress.execution = Execution::Ran;
         head->requestId = m_head.requestId;
         head->load = load();
@@ -525,6 +583,9 @@
         if (m_impl.options.onDoubt) {
             m_impl.options.onDoubt(TargetDoubt::Unreachable);
         }
+        if (nothingListens(status)) {
+            m_impl.signOfCrash(CrashEvidence::NothingListens);
+        }
         const std::lock_guard lock(m_impl.mutex);
         m_impl.guard.suspectRestart(m_impl.options.clock->now());
         m_result.execution = m_sent ? Execution::Unknown : Execution::NotRun;
@@ -543,6 +604,7 @@
             return m_result;
         }
         slot.failed();
+        m_impl.noteCutOff(m_ticket);
         m_result.status = 502;
         m_result.unreachable = true;
         if (m_impl.options.onDoubt) {
@@ -560,6 +622,9 @@
     AnswerSink &m_sink;
     ExchangeProgress &m_progress;
     TimePoint m_deadline;
+    RequestPrinter m_printer;
+    GuardTicket m_ticket = 0;
+    TimePoint m_sentAt;
     ExchangeResult m_result;
     bool m_sent = false;
     bool m_bodySent = false;
@@ -616,6 +681,17 @@
     m_impl->guard.suspectRestart(m_impl->options.clock->now());
 }
 
+void GuardedTarget::signOfCrash(CrashEvidence evidence)
+{
+    m_impl->signOfCrash(evidence);
+}
+
+void GuardedTarget::alive(TimePoint sentAt)
+{
+    const std::lock_guard lock(m_impl->mutex);
+    m_impl->crashes.alive(sentAt);
+}
+
 void GuardedTarget::setPace(std::uint32_t percent)
 {
     m_impl->notePace(percent);
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -3,6 +3,7 @@
 
 #include "net/exchange.h"
 #include "net/neterror.h"
+#include "shallotrelay/containment/crashwatch.h"
 #include "shallotrelay/guard/guard.h"
 
 #include <functional>
@@ -49,6 +50,11 @@
     std::function<void()> onPace;
     /// Called at a sign of doubt; without it, a connection that is cut off counts as a restart.
     std::function<void(TargetDoubt doubt)> onDoubt;
+    /// Called when the target has crashed, with what it was running.
+    std::function<void(const Crash &crash)> onCrash;
+    /// Called when a request is sent once more because its connection turned out to be closed, with the time that this
+    /// took.
+    std::function<void(const RequestHead &request, Duration after)> onResend;
     Duration connectTimeout = std::chrono::seconds(1); ///< Time for a connection to the target.
     bool closesAbandoned
         = false; ///< Whether the target ends work when its connection is closed, not when it is half-closed.
@@ -86,6 +92,12 @@
     /// Notes a sign that the target restarted.
     void suspectRestart();
 
+    /// Notes a sign that the target has crashed; it counts if connections were cut off before it.
+    void signOfCrash(CrashEvidence evidence);
+
+    /// Notes that the same start of the target has answered what it was sent at a point in time.
+    void alive(TimePoint sentAt);
+
     /// Notes how long work takes on the VM of the target at present.
     void setPace(std::uint32_t percent);
 
--- a/src/net/neterror.cpp
+++ b/src/net/neterror.cpp
@@ -32,9 +32,17 @@
     if (ec == boost::beast::error::timeout || ec == asio::error::timed_out) {
         return absl::DeadlineExceededError(text);
     }
+    if (ec == asio::error::connection_refused) {
+        return absl::FailedPreconditionError(text);
+    }
     return absl::UnavailableError(text);
 }
 
+bool nothingListens(const absl::Status &status)
+{
+    return status.code() == absl::StatusCode::kFailedPrecondition;
+}
+
 tcp::endpoint toEndpoint(const Address &address)
 {
     return {asio::ip::make_address(address.host), address.port};
--- a/src/net/neterror.h
+++ b/src/net/neterror.h
@@ -24,9 +24,13 @@
 /// Completion token that makes an operation return its error code with its result.
 inline constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Turns an error code into a status: Unavailable, DeadlineExceeded or Cancelled.
+/// Turns an error code into a status: Unavailable, DeadlineExceeded, Cancelled, or FailedPrecondition where nothing
+/// listens.
 absl::Status toStatus(const boost::system::error_code &ec, std::string_view what);
 
+/// Returns whether a connection was refused since nothing listens at the address.
+bool nothingListens(const absl::Status &status);
+
 /// Returns the endpoint of a checked address.
 tcp::endpoint toEndpoint(const Address &address);
 
