--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -116,12 +116,18 @@
             it.transport.abort()
 
 
+def service_of(i):
+    """Returns the service of the worker beside a node; the first half of the nodes serves one, the others another."""
+    return "s%d" % (2 * i // len(NODES))
+
+
 class Worker:
     """A stand-in of an application worker that records what it runs."""
 
     def __init__(self, soak, host, service, zone):
         self.soak, self.host, self.service, self.zone = soak, host, service, zone
         self.starts = 0
+        self.port = PROXY  # Where its node reaches it.
         self.restart()
 
     def restart(self):
@@ -136,15 +142,19 @@
 
     async def announce(self):
         while not self.soak.ended:
-            self.sequence += 1
-            body = {"service": self.service, "address": "%s:%d" % (self.host, PROXY), "zone": self.zone, "version": "v1",
-                    "slots": 8, "state": "ready", "coldRemaining": "0ms", "sequence": self.sequence, "born": self.born}
-            try:
-                await call(self.host, ANNOUNCE, "PUT", "/instances/" + self.id, json.dumps(body).encode(), timeout=1)
-            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-                pass
+            await self.beat()
             await asyncio.sleep(0.4)
 
+    async def beat(self):
+        """Sends one heartbeat; one that is lost is followed by the next."""
+        self.sequence += 1
+        body = {"service": self.service, "address": "%s:%d" % (self.host, self.port), "zone": self.zone, "version": "v1",
+                "slots": 8, "state": "ready", "coldRemaining": "0ms", "sequence": self.sequence, "born": self.born}
+        try:
+            await call(self.host, ANNOUNCE, "PUT", "/instances/" + self.id, json.dumps(body).encode(), timeout=1)
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            pass
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -186,6 +196,7 @@
         self.seconds, self.binary, self.folder = seconds, binary, folder
         self.processes = {}
         self.servers = []
+        self.workers = []
         self.struck = set()
         self.runs = {}
         self.unsafe = {}  # status by id of requests that must not be repeated
@@ -213,8 +224,8 @@
                     "--control", seeds, "--first-start", "false" if os.path.exists(data) else "true",
                     "--data-folder", data, "--trust", "unsigned"]
         i = NODES.index(host)
-        return [self.binary, "platform-node", "--name", name, "--data-centre", ZONES[i % 2], "--service", "s%d" % (i // 2),
-                "--target", "%s:%d" % (host, PROXY), "--listen", "%s:%d" % (host, DOOR),
+        return [self.binary, "platform-node", "--name", name, "--data-centre", ZONES[i % 2], "--service", service_of(i),
+                "--target", "%s:%d" % (host, self.workers[i].port), "--listen", "%s:%d" % (host, DOOR),
                 "--ready-listen", "%s:%d" % (host, READY), "--announce-listen", "%s:%d" % (host, ANNOUNCE),
                 "--peer-listen", "%s:%d" % (host, PEER), "--metrics-listen", "%s:%d" % (host, METRICS),
                 "--control", seeds]
@@ -387,7 +398,7 @@
 
     async def run(self):
         self.proxies = [Proxy(it) for it in NODES]
-        self.workers = [Worker(self, it, "s%d" % (i // 2), ZONES[i % 2]) for i, it in enumerate(NODES)]
+        self.workers = [Worker(self, it, service_of(i), ZONES[i % 2]) for i, it in enumerate(NODES)]
         self.servers = [await it.start() for it in self.proxies + self.workers]
         for host in CONTROLS + NODES:
             await self.launch(host)
