--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -474,11 +474,13 @@
             // A cancelled exchange leaves its connection to the slot, which waits for the target to end the work.
             co_await throwIfCancelled();
             slot.takeConnection();
-            if (!fresh && m_progress.execution == Execution::Unknown && !m_progress.answerStarted) {
+            const Duration sinceSent = m_impl.options.clock->now() - m_sentAt;
+            const bool unanswered = m_progress.execution == Execution::Unknown && !m_progress.answerStarted;
+            if (!fresh && unanswered && closedWhileIdle(sinceSent)) {
                 fresh = true;
                 m_impl.noteCutOff(m_ticket);
                 if (m_impl.options.onResend) {
-                    m_impl.options.onResend(m_head, m_impl.options.clock->now() - m_sentAt);
+                    m_impl.options.onResend(m_head, sinceSent);
                 }
                 continue;
             }
