A request whose reused connection is reset is no longer sent to its target again outside the budget

What callers saw: nothing at once; targets got far more than they may be asked.

Cause: a repeatable request that was cut off on a connection which had been idle was sent once more to the same target, by the guard, which keeps no budget. It was meant for connections that the target had closed while they were idle.

Why the fix works: such a try ends as one that may have run, and the caller's node decides on a second one with its budget, at another target. The other idle connections are dropped, since the target may have forgotten them as well. The resend lines and their counter leave with what they told of. Test: resendtest, failed before (3 arrivals instead of 2).

--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -91,7 +91,6 @@
         options.onDecision
             = [this](const RequestHead &request, const GuardDecision &decision) { noteDecision(request, decision); };
         options.onCrash = [this, name = announcement.name](const Crash &crash) { noteCrash(name, crash); };
-        options.onResend = [this](const RequestHead &request, Duration after) { noteResend(request, after); };
         entry.guarded = std::make_shared<GuardedTarget>(options);
         const ClaimOwner self{m_options.peerAddress, announcement.name, m_options.incarnation};
         entry.keyed = std::make_shared<KeyedTarget>(entry.guarded, m_keys, self, *m_options.clock);
@@ -152,15 +151,6 @@
     }
 }
 
-void LocalTargets::noteResend(const RequestHead &request, Duration after)
-{
-    m_metrics.counter("shallotrelay_resends_total", "Requests sent again on a new connection to the same target")
-        .Increment();
-    LogFields line;
-    line.add("request", request.requestId).add("target", request.target).add("after_ms", toMilliseconds(after));
-    m_log.write(LogLevel::Info, "resend", line);
-}
-
 void LocalTargets::remove(const ServiceId &service, const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/daemon/localtargets.h
+++ b/src/daemon/localtargets.h
@@ -85,7 +85,6 @@
 
     void noteDecision(const RequestHead &request, const GuardDecision &decision);
     void noteCrash(const std::string &target, const Crash &crash);
-    void noteResend(const RequestHead &request, Duration after);
     TargetRecord toRecord(const Entry &entry) const;
     GuardPolicy policyOf(const Entry &entry) const;
     void publish();
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -455,53 +455,38 @@
         m_ticket = slot.ticket();
         m_executor = co_await asio::this_coro::executor;
         const auto executor = m_executor;
-        bool fresh = m_head.bodyKind != BodyKind::None || !m_head.repeatable;
-        for (;;) {
-            auto connection = co_await open(executor, &fresh);
-            if (!connection.ok()) {
-                co_return unreachable(slot, connection.status());
-            }
-            TargetConnection &held = slot.hold(*std::move(connection));
-            m_progress.execution = Execution::Unknown;
-            m_sent = true;
-            m_result.reachedTarget = true;
-            absl::Status status = co_await converse(slot, held);
-            if (status.ok()) {
-                slot.finish();
-                keep(executor, slot.takeConnection());
-                co_return m_result;
-            }
-            // A cancelled exchange leaves its connection to the slot, which waits for the target to end the work.
-            co_await throwIfCancelled();
-            slot.takeConnection();
-            const Duration sinceSent = m_impl.options.clock->now() - m_sentAt;
-            const bool unanswered = m_progress.execution == Execution::Unknown && !m_progress.answerStarted;
-            if (!fresh && unanswered && closedWhileIdle(sinceSent)) {
-                fresh = true;
-                m_impl.noteCutOff(m_ticket);
-                if (m_impl.options.onResend) {
-                    m_impl.options.onResend(m_head, sinceSent);
-                }
-                continue;
-            }
-            co_return cutOff(slot, status);
-        }
+        auto connection = co_await open(executor);
+        if (!connection.ok()) {
+            co_return unreachable(slot, connection.status());
+        }
+        TargetConnection &held = slot.hold(*std::move(connection));
+        m_progress.execution = Execution::Unknown;
+        m_result.reachedTarget = true;
+        absl::Status status = co_await converse(slot, held);
+        if (status.ok()) {
+            slot.finish();
+            keep(executor, slot.takeConnection());
+            co_return m_result;
+        }
+        // A cancelled exchange leaves its connection to the slot, which waits for the target to end the work.
+        co_await throwIfCancelled();
+        slot.takeConnection();
+        // Whether a reused connection was closed before the target read the request or after it ran it looks the same
+        // from here, so sending it again is left to whoever keeps the budget.
+        m_impl.idle.clear(executor);
+        co_return cutOff(slot, status);
     }
 
 private:
-    /// Takes an idle connection, or opens one if a fresh one is wanted or none is idle.
-    asio::awaitable<absl::StatusOr<ConnectionPointer>> open(asio::any_io_executor executor, bool *fresh)
+    /// Takes an idle connection, or opens one if none is idle or the request may run only once.
+    asio::awaitable<absl::StatusOr<ConnectionPointer>> open(asio::any_io_executor executor)
     {
-        while (!*fresh) {
-            ConnectionPointer idle = m_impl.idle.take(executor);
-            if (!idle) {
-                break;
-            }
+        const bool reuses = m_head.bodyKind == BodyKind::None && m_head.repeatable;
+        while (ConnectionPointer idle = reuses ? m_impl.idle.take(executor) : nullptr) {
             if (!idle->stale()) {
                 co_return idle;
             }
         }
-        *fresh = true;
         Address address;
         {
             const std::lock_guard lock(m_impl.mutex);
@@ -539,7 +524,6 @@
                 head.headers.push_back(std::move(it));
             }
         }
-        m_sentAt = m_impl.options.clock->now();
         const absl::Status sent = co_await connection.write(requestHeadText(head, host), m_impl.options.stallTimeout);
         if (!sent.ok()) {
             co_return sent;
@@ -692,7 +676,7 @@
         return m_impl.guard.load(m_impl.options.clock->now());
     }
 
-    /// The connection was not made, so the request did not run, unless it was sent on an idle connection before.
+    /// The connection was not made, so the request did not run.
     ExchangeResult unreachable(Slot &slot, const absl::Status &status)
     {
         slot.failed();
@@ -705,7 +689,7 @@
         }
         const std::lock_guard lock(m_impl.mutex);
         m_impl.guard.suspectRestart(m_impl.options.clock->now());
-        m_result.execution = m_sent ? Execution::Unknown : Execution::NotRun;
+        m_result.execution = Execution::NotRun;
         m_result.status = 503;
         m_result.reason = std::string(status.message());
         m_result.unreachable = true;
@@ -742,9 +726,7 @@
     bool m_printsBody; // whether the printer takes in the body as it passes
     std::unique_ptr<RequestPrinter> m_printer;
     GuardTicket m_ticket = 0;
-    TimePoint m_sentAt;
     ExchangeResult m_result;
-    bool m_sent = false;
     bool m_bodySent = false;
     bool m_rejected = false;
     asio::any_io_executor m_executor;
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -59,9 +59,6 @@
     std::function<void(const RequestPrint &print)> onCleanRun;
     /// Called when the target has crashed, with what it was running.
     std::function<void(const Crash &crash)> onCrash;
-    /// Called when a request is sent once more because its connection turned out to be closed, with the time that this
-    /// took.
-    std::function<void(const RequestHead &request, Duration after)> onResend;
     Duration connectTimeout = std::chrono::seconds(1); ///< Time for a connection to the target.
     bool closesAbandoned
         = false; ///< Whether the target ends work when its connection is closed, not when it is half-closed.
--- a/tests/process/resendtest.cpp
+++ b/tests/process/resendtest.cpp
@@ -159,10 +159,15 @@
     CHECK(resets.target.arrivals == 2);
 }
 
-TEST_CASE("A request whose idle connection turns out to be closed is sent on a new one")
+TEST_CASE("A request whose connection is reset at once is left to the budget of its caller's node, too")
 {
     GuardedResets resets(0ms);
     REQUIRE(resets.get().whole);
+    const ExchangeResult result = resets.get();
+    CHECK_FALSE(result.whole);
+    CHECK(result.execution == Execution::Unknown);
+    CHECK(result.reachedTarget);
+    CHECK(resets.target.arrivals == 2);
     CHECK(resets.get().whole);
 }
 
