Nodes that start again begin without saved retries

What callers saw: nothing; targets of a service with little traffic can be sent more repeats than all nodes together may. Cause: each start gave a node three retries per service at once, while the slack that all nodes share had been spent already by the same nodes before they were killed. The class of fault: a share of a common bound that a restart hands out twice. Why the fix works: retries are saved up from first tries only, so what all nodes spend is bounded by ratio and slack whatever restarts. Two tests of hedgetest relied on the gift at the start; they save up first and expect the same figures.

--- a/include/shallotrelay/retry/retry.h
+++ b/include/shallotrelay/retry/retry.h
@@ -38,7 +38,8 @@
     /// Changes the share; what was saved up stays, up to the bound.
     void setPercent(std::uint32_t percent);
 
-    /// Sets how many retries can be saved up; what is saved beyond it is lost.
+    /// Makes this the budget of one of several nodes that share it: it can save up this many retries, and what is saved
+    /// beyond it is lost. A node starts without savings, since it may have spent them just before it started again.
     void setBurst(double retries);
 
     /// Notes a first try.
@@ -58,6 +59,7 @@
     double m_percent;
     double m_burst;
     double m_saved;
+    bool m_shared = false;
 };
 
 /// What the system knows of a request when a try ended without a whole answer, or with a server error.
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -33,14 +33,15 @@
 void RetryBudget::setBurst(double retries)
 {
     m_burst = retries;
-    m_saved = std::min(m_saved, m_burst);
+    m_saved = m_shared ? std::min(m_saved, m_burst) : 0;
+    m_shared = true;
 }
 
 void RetryBudget::setPercent(std::uint32_t percent)
 {
     const bool begins = m_percent == 0 && percent > 0;
     m_percent = percent;
-    m_saved = begins ? InitialRetries : m_saved;
+    m_saved = begins && !m_shared ? InitialRetries : m_saved;
     m_saved = percent > 0 ? m_saved : 0;
 }
 
--- a/tests/unit/hedgetest.cpp
+++ b/tests/unit/hedgetest.cpp
@@ -124,10 +124,24 @@
     CHECK_FALSE(crowded.hedge(router, budget, random, at(1s)));
 }
 
+namespace
+{
+
+/// Saves up as much as the budget holds.
+void saveUp(RetryBudget *budget)
+{
+    for (int i = 0; i < 100; ++i) {
+        budget->firstTry();
+    }
+}
+
+}
+
 TEST_CASE("Repeats that happen anyway are charged, and later first tries make up for them")
 {
     RetryBudget budget(10);
     budget.setBurst(2);
+    saveUp(&budget);
     budget.charge(5);
     CHECK_FALSE(budget.takeRetry());
     int tries = 0;
@@ -143,6 +157,7 @@
 {
     RetryBudget budget(10);
     budget.setBurst(1);
+    saveUp(&budget);
     TryFailure failure;
     failure.timeLeft = 1s;
     failure.execution = Execution::NotRun;
