Wishes to join reach the leader, and a successor votes before a silent voter is removed

Cause: a replica that asks to join sends its wish to the addresses in its settings and to the voters that it knows. Only a leader took it; all others dropped it. Settings name three VMs, so once another one led, nobody who lost its disk and no replacement got in. The class of fault: a message that only one role understands, sent to whoever is known.

Change: whoever gets a wish passes it on to the leader, once. A successor is added before the silent voter is removed, unless the larger group had no majority; a silent voter is removed after 2.5 s (1.5 and 10 s before) where the group is larger than five or one more loss would stop it. Lines: voter-change with its reason, no-quorum with the voters that are missing; gauge shallotrelay_quorum.

Both new tests failed before; with the passing on switched off disks are not made good (test). The tests had missed it since their replicas asked the leader, whom nobody names to a real one.

--- a/include/shallotrelay/consensus/replica.h
+++ b/include/shallotrelay/consensus/replica.h
@@ -53,8 +53,9 @@
     Duration electionLow = std::chrono::milliseconds(600); ///< Shortest silence of the leader before an election.
     Duration electionHigh = std::chrono::milliseconds(1000); ///< Longest silence of the leader before an election.
     Duration heartbeat = std::chrono::milliseconds(80); ///< Time between messages of a leader.
-    Duration voterSilence = std::chrono::milliseconds(1500); ///< Silence after which a waiting replica takes its place.
-    Duration voterGone = std::chrono::seconds(10); ///< Silence after which a voter is removed in any case.
+    /// Silence after which a voter is removed if the group is better off without it; shorter than the time after which
+    /// the next loss is to be borne. One that comes back with its disk joins again.
+    Duration voterGone = std::chrono::milliseconds(2500);
     std::size_t maxBatchBytes = 256 * 1024; ///< Most bytes of entries in one message.
 };
 
@@ -65,6 +66,13 @@
     std::vector<ConsensusEntry> entries; ///< The entries behind the snapshot, without gaps.
 };
 
+/// A change of the voters that a leader has begun.
+struct VoterChange {
+    std::string id; ///< Identity of the replica.
+    bool added = false; ///< Whether it becomes a voter or stops being one.
+    std::string reason; ///< Why, for logs.
+};
+
 /// What the user of a replica does after an event.
 struct ReplicaOutput {
     std::vector<ConsensusMessage> now; ///< Messages that may go at once.
@@ -76,6 +84,7 @@
     std::vector<ConsensusEntry> committed; ///< To be applied, in order.
     std::vector<std::uint64_t> readsConfirmed; ///< Reads that may be answered from the applied state.
     std::vector<std::uint64_t> readsFailed; ///< Reads that this replica cannot answer.
+    std::vector<VoterChange> voterChanges; ///< Changes of the voters that this leader has begun, to be logged.
 
     /// Returns whether there is something to store.
     bool stores() const;
@@ -99,8 +108,9 @@
     /// Asks to confirm that this replica still leads; the answer comes with take(). False if it does not lead.
     bool requestRead(std::uint64_t ticket, TimePoint now);
 
-    /// Takes in the wish of a replica to become a voter; ignored unless this replica leads.
-    void join(const ReplicaMember &member, TimePoint now);
+    /// Takes in the wish of a replica to become a voter. Returns the address of the leader if that is another replica,
+    /// so that the wish can be passed on: the one that asks may know none of the voters that lead.
+    std::optional<std::string> join(const ReplicaMember &member, TimePoint now);
 
     /// Notes that all entries up to a place are synced.
     void stored(const LogPosition &last, TimePoint now);
@@ -123,6 +133,9 @@
     /// Returns whether this replica is a voter.
     bool isVoter() const;
 
+    /// Returns the other voters that this replica has not heard of for a while: those that an election waits for.
+    std::vector<std::string> missingVoters(TimePoint now) const;
+
     /// Returns whether it heard from a leader, or as a leader from a majority, within the election time.
     bool inTouch(TimePoint now) const;
 
@@ -166,7 +179,10 @@
     void tickLeader(TimePoint now);
     void stepDownIfAlone(TimePoint now);
     void changeMembers(TimePoint now);
-    std::optional<std::vector<ReplicaMember>> nextMembers(TimePoint now) const;
+    std::optional<std::vector<ReplicaMember>> nextMembers(TimePoint now);
+    std::vector<ReplicaMember> removeVoter(const std::string &id, std::string reason);
+    std::size_t livingVoters(TimePoint now) const;
+    const ReplicaMember *findReplaced(TimePoint now) const;
     const Progress *longestSilent(Duration bound, TimePoint now) const;
     void takeVoteRequest(const ConsensusMessage &message, TimePoint now);
     void takeVoteReply(const ConsensusMessage &message, TimePoint now);
@@ -211,6 +227,7 @@
     TimePoint m_leaderHeard;
     TimePoint m_now;
     std::map<std::string, bool> m_votes;
+    std::map<std::string, TimePoint> m_lastHeard; // of voters, by identity
     std::map<std::string, Progress> m_progress;
     std::vector<Read> m_reads;
     ReplicaOutput m_output;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -14,6 +14,12 @@
 /// A replica that wants to join and has been silent for this long is forgotten; it asks again each 200 ms while it
 /// runs.
 constexpr Duration JoinMemory = std::chrono::milliseconds(1000);
+/// Fewer voters would not bear the loss of one.
+constexpr std::size_t LeastVoters = 3;
+/// So many voters bear the loss of two; a silent one beyond them only makes majorities larger.
+constexpr std::size_t WholeGroup = 5;
+/// Heartbeats without a reply after which a voter counts as silent.
+constexpr int MissedHeartbeats = 4;
 
 bool contains(const std::vector<ReplicaMember> &members, const std::string &id)
 {
@@ -99,16 +105,25 @@
     return findMember(m_options.self.id) != nullptr;
 }
 
+std::vector<std::string> Replica::missingVoters(TimePoint now) const
+{
+    std::vector<std::string> out;
+    for (const ReplicaMember &it : members()) {
+        const auto heard = m_lastHeard.find(it.id);
+        const bool recent = heard != m_lastHeard.end() && now - heard->second < 2 * m_options.electionHigh;
+        if (it.id != m_options.self.id && !recent) {
+            out.push_back(it.id);
+        }
+    }
+    return out;
+}
+
 bool Replica::inTouch(TimePoint now) const
 {
     if (m_role != ReplicaRole::Leader) {
         return m_leader.has_value() && now - m_leaderHeard < m_options.electionHigh;
     }
-    std::size_t heard = isVoter() ? 1 : 0;
-    for (const auto &it : m_progress) {
-        heard += it.second.voter && now - it.second.heard < m_options.electionHigh ? 1 : 0;
-    }
-    return heard >= majority();
+    return livingVoters(now) >= majority();
 }
 
 const std::vector<ReplicaMember> &Replica::members() const
@@ -322,38 +337,78 @@
     broadcast(now);
 }
 
-std::optional<std::vector<ReplicaMember>> Replica::nextMembers(TimePoint now) const
+std::optional<std::vector<ReplicaMember>> Replica::nextMembers(TimePoint now)
 {
-    constexpr std::size_t LeastVoters = 2;
-    // Fewer voters would not bear the loss of one.
-    constexpr std::size_t LeastVotersUnreplaced = 3;
     const std::vector<ReplicaMember> &current = members();
+    if (const ReplicaMember *lost = findReplaced(now)) {
+        return removeVoter(lost->id, "its successor votes");
+    }
+    const Progress *gone = longestSilent(m_options.voterGone, now);
     for (const auto &joining : m_progress) {
         const Progress &progress = joining.second;
         if (progress.voter || progress.match < m_commit) {
             continue;
         }
-        // Another identity at the address of a voter shows that the voter has lost its disk.
-        for (const ReplicaMember &it : current) {
-            if (it.address == progress.member.address && current.size() > LeastVoters) {
-                return without(current, it.id);
-            }
+        const std::size_t larger = current.size() + 1;
+        if (livingVoters(now) + 1 >= larger / 2 + 1) {
+            std::vector<ReplicaMember> out = current;
+            out.push_back(progress.member);
+            m_output.voterChanges.push_back({progress.member.id, true, "it has the log"});
+            return out;
         }
-        const Progress *silent = longestSilent(m_options.voterSilence, now);
-        if (silent != nullptr && current.size() > LeastVoters) {
-            return without(current, silent->member.id);
+        // The larger group could not commit anything until one of the silent voters has left it.
+        if (gone != nullptr) {
+            return removeVoter(gone->member.id, "beside it there is no majority for a successor");
         }
-        std::vector<ReplicaMember> out = current;
-        out.push_back(progress.member);
-        return out;
     }
-    const Progress *gone = longestSilent(m_options.voterGone, now);
-    if (gone != nullptr && current.size() > LeastVotersUnreplaced) {
-        return without(current, gone->member.id);
+    if (gone == nullptr) {
+        return std::nullopt;
+    }
+    if (current.size() > WholeGroup) {
+        return removeVoter(gone->member.id, "it is silent, and the others are enough");
+    }
+    const bool oneMoreStopsAll = livingVoters(now) <= majority();
+    if (oneMoreStopsAll && current.size() > LeastVoters) {
+        return removeVoter(gone->member.id, "it is silent, and without it the group bears another loss");
     }
     return std::nullopt;
 }
 
+std::vector<ReplicaMember> Replica::removeVoter(const std::string &id, std::string reason)
+{
+    m_output.voterChanges.push_back({id, false, std::move(reason)});
+    return without(members(), id);
+}
+
+/// Returns how many voters are known to run: this one and those that answered within the election time.
+std::size_t Replica::livingVoters(TimePoint now) const
+{
+    std::size_t out = isVoter() ? 1 : 0;
+    for (const auto &it : m_progress) {
+        out += it.second.voter && now - it.second.heard < m_options.electionHigh ? 1 : 0;
+    }
+    return out;
+}
+
+/// Returns a silent voter at whose address another one votes, which shows that its disk is lost, or nullptr.
+const ReplicaMember *Replica::findReplaced(TimePoint now) const
+{
+    const Duration silence = MissedHeartbeats * m_options.heartbeat;
+    const auto silent = [&](const std::string &id) {
+        const auto progress = m_progress.find(id);
+        return progress != m_progress.end() && now - progress->second.heard > silence;
+    };
+    for (const ReplicaMember &it : members()) {
+        const bool succeeded = std::any_of(members().begin(), members().end(), [&](const ReplicaMember &other) {
+            return other.id != it.id && other.address == it.address && !silent(other.id);
+        });
+        if (succeeded && silent(it.id)) {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
 /// Returns the voter that has been silent for longest, or nullptr if none has for the bound.
 const Replica::Progress *Replica::longestSilent(Duration bound, TimePoint now) const
 {
@@ -367,15 +422,18 @@
     return out;
 }
 
-void Replica::join(const ReplicaMember &member, TimePoint now)
+std::optional<std::string> Replica::join(const ReplicaMember &member, TimePoint now)
 {
     m_now = now;
-    if (m_role != ReplicaRole::Leader || contains(members(), member.id) || member.id.empty()) {
-        return;
+    if (m_role != ReplicaRole::Leader) {
+        return m_leader && inTouch(now) ? std::optional(m_leader->address) : std::nullopt;
+    }
+    if (contains(members(), member.id) || member.id.empty()) {
+        return std::nullopt;
     }
     const auto known = m_progress.find(member.id);
     if (known != m_progress.end()) {
-        return;
+        return std::nullopt;
     }
     Progress progress;
     progress.member = member;
@@ -383,6 +441,7 @@
     progress.heard = now;
     m_progress[member.id] = progress;
     sendTo(m_progress[member.id], now);
+    return std::nullopt;
 }
 
 std::optional<LogPosition> Replica::propose(std::string command, TimePoint now)
@@ -532,6 +591,9 @@
     if (in.to != m_options.self.id || in.from == m_options.self.id) {
         return;
     }
+    if (findMember(in.from) != nullptr) {
+        m_lastHeard[in.from] = now;
+    }
     const bool asksOnly = in.kind == ConsensusKind::PreVote || (in.kind == ConsensusKind::PreVoteReply && in.granted);
     const bool disturbs = in.kind == ConsensusKind::Vote && m_leader && now - m_leaderHeard < m_options.electionLow;
     if (in.term > m_hardState.term && !asksOnly && !disturbs) {
--- a/src/daemon/intentstore.cpp
+++ b/src/daemon/intentstore.cpp
@@ -25,6 +25,9 @@
 constexpr Duration JoinInterval = std::chrono::milliseconds(200);
 /// Silence of the leader after which a voter asks others whether it still is one.
 constexpr Duration LostLeaderBound = std::chrono::milliseconds(1000);
+/// Time without a leader after which the group counts as unable to elect one, and time between the lines that say so.
+constexpr Duration NoQuorumBound = std::chrono::seconds(3);
+constexpr Duration NoQuorumInterval = std::chrono::seconds(5);
 /// Longest time for the decision on an order; callers try elsewhere after a second.
 constexpr Duration DecisionBound = std::chrono::milliseconds(800);
 /// Longest wait for a leader to be known.
@@ -91,6 +94,7 @@
         , syncs(m.counter("shallotrelay_log_syncs_total", "Batches synced to the replicated log"))
         , syncFailures(m.counter("shallotrelay_log_sync_failures_total", "Batches that the disk refused"))
         , syncSeconds(m.seconds("shallotrelay_log_sync_seconds", "Time to sync a batch of the replicated log"))
+        , quorum(m.gauge("shallotrelay_quorum", "Whether this control VM is in touch with a leader of the group"))
         , disk(1)
     {
     }
@@ -103,6 +107,7 @@
     prometheus::Counter &syncs;
     prometheus::Counter &syncFailures;
     prometheus::Histogram &syncSeconds;
+    prometheus::Gauge &quorum;
     std::unique_ptr<ReplicaLog> file;
     std::unique_ptr<Replica> replica;
     IntentLedger state;
@@ -121,6 +126,7 @@
     std::string seenView;
     TimePoint nextJoin;
     TimePoint leaderSeen;
+    TimePoint nextQuorumNote;
     std::atomic<bool> stopped = false;
     asio::thread_pool disk; // last, so that it ends before what its work uses
 
@@ -180,6 +186,7 @@
             self->replica->tick(now);
             self->pump();
             self->askToJoin(now);
+            self->noteQuorum(now);
         }
     }
 
@@ -201,12 +208,31 @@
             addresses.insert(it.address);
         }
         addresses.erase(options.self.address);
-        const std::string frame = encodeFrame(JoinRequest{options.self});
+        const std::string frame = encodeFrame(JoinRequest{options.self, false});
         for (const std::string &it : addresses) {
             sendTo(it, frame);
         }
     }
 
+    /// Says once in a while that the group cannot elect a leader, and whom it waits for.
+    void noteQuorum(TimePoint now)
+    {
+        const bool lost = now - leaderSeen > NoQuorumBound;
+        quorum.Set(lost ? 0 : 1);
+        if (!lost || now < nextQuorumNote) {
+            return;
+        }
+        nextQuorumNote = now + NoQuorumInterval;
+        LogFields line;
+        line.add("voters", std::uint64_t(replica->members().size())).add("term", replica->term());
+        std::string missing;
+        for (const std::string &it : replica->missingVoters(now)) {
+            missing += (missing.empty() ? "" : " ") + it;
+        }
+        line.add("missing", missing).add("voter", std::uint64_t(replica->isVoter() ? 1 : 0));
+        log.write(LogLevel::Warn, "no-quorum", line);
+    }
+
     void sendTo(const std::string &address, std::string frame)
     {
         auto &link = links[address];
@@ -266,6 +292,11 @@
             apply(it);
         }
         settleReads(output);
+        for (const VoterChange &it : output.voterChanges) {
+            log.write(
+                LogLevel::Info, "voter-change",
+                LogFields().add("id", it.id).add("change", it.added ? "added" : "removed").add("reason", it.reason));
+        }
         noteRole();
         if (replica->keptEntries() > CompactEntries && !committed.empty() && !storing) {
             replica->compact(committed.back().index, encodePayload(state.snapshot()));
@@ -595,8 +626,11 @@
 void IntentStore::take(const JoinRequest &request)
 {
     m_impl->addressOf[request.member.id] = request.member.address;
-    m_impl->replica->join(request.member, m_impl->clock.now());
+    const auto leader = m_impl->replica->join(request.member, m_impl->clock.now());
     m_impl->pump();
+    if (leader && !request.passedOn) {
+        m_impl->sendTo(*leader, encodeFrame(JoinRequest{request.member, true}));
+    }
 }
 
 const IntentLedger &IntentStore::ledger() const
--- a/tests/process/resendtest.cpp
+++ b/tests/process/guardedtargettest.cpp
@@ -1,4 +1,5 @@
 #include "net/guardedtarget.h"
+#include "net/httpfields.h"
 #include "net/listener.h"
 #include "support.h"
 
@@ -9,6 +10,8 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <future>
+#include <mutex>
 
 namespace shallotrelay
 {
@@ -61,6 +64,59 @@
     Listener m_listener;
 };
 
+/// A target that answers each request after a while with the time that it was told to have left.
+class TimedTarget
+{
+public:
+    explicit TimedTarget(Runtime &runtime)
+        : m_listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
+            asio::co_spawn(loop, serve(std::move(socket)), asio::detached);
+        })
+    {
+        REQUIRE(m_listener.start(Address{"127.0.0.1", 0}).ok());
+    }
+
+    Address address() const
+    {
+        return m_listener.address();
+    }
+
+    /// Returns the times that it was told, in milliseconds.
+    std::vector<int> told() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_told;
+    }
+
+private:
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        for (;;) {
+            std::string buf(4096, '\0');
+            const auto [ec, n] = co_await socket.async_read_some(asio::buffer(buf), AsTuple);
+            if (ec) {
+                co_return;
+            }
+            note(buf.substr(0, n));
+            co_await sleepFor(200ms);
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            co_await asio::async_write(socket, asio::buffer(answer), AsTuple);
+        }
+    }
+
+    void note(const std::string &head)
+    {
+        const std::string name = std::string(DeadlineHeader) + ": ";
+        const std::size_t at = head.find(name);
+        const std::lock_guard lock(m_mutex);
+        m_told.push_back(at == std::string::npos ? -1 : std::stoi(head.substr(at + name.size())));
+    }
+
+    mutable std::mutex m_mutex;
+    std::vector<int> m_told;
+    Listener m_listener;
+};
+
 class EmptyBody : public BodySource
 {
 public:
@@ -99,11 +155,13 @@
     }
 };
 
-/// A guard before such a target.
-struct GuardedResets {
-    explicit GuardedResets(Duration delay)
+/// A guard before a target.
+template<class Target>
+struct Guarded {
+    template<class... Args>
+    explicit Guarded(std::uint32_t slots, Args... args)
         : runtime(1)
-        , target(runtime, delay)
+        , target(runtime, args...)
     {
         runtime.start();
         GuardedTargetOptions options;
@@ -111,20 +169,27 @@
         guarded = std::make_shared<GuardedTarget>(options);
         GuardPolicy policy;
         policy.served = true;
-        policy.slots = 4;
+        policy.slots = slots;
         policy.connections = 100;
-        policy.coldSlots = 4;
+        policy.coldSlots = slots;
+        policy.queueLength = 10;
+        policy.queueWait = 5s;
         policy.revision = 1;
         guarded->setPolicy(policy);
-        guarded->announced({"boot", TargetState::Ready, 4, 100}, target.address());
+        guarded->announced({"boot", TargetState::Ready, slots, 100}, target.address());
     }
 
-    ~GuardedResets()
+    ~Guarded()
     {
         runtime.stop();
     }
 
     ExchangeResult get()
+    {
+        return send(5s).get();
+    }
+
+    std::future<ExchangeResult> send(Duration timeLeft)
     {
         auto one = [](std::shared_ptr<GuardedTarget> to, TimePoint deadline) -> asio::awaitable<ExchangeResult> {
             RequestHead head;
@@ -132,17 +197,18 @@
             head.method = "GET";
             head.path = "/";
             head.repeatable = true;
+            head.mayQueue = true;
             EmptyBody body;
             DroppingSink sink;
             ExchangeProgress progress;
             co_return co_await to->run(head, body, sink, progress, deadline);
         };
-        return asio::co_spawn(runtime.shard(0), one(guarded, clock.now() + 5s), asio::use_future).get();
+        return asio::co_spawn(runtime.shard(0), one(guarded, clock.now() + timeLeft), asio::use_future);
     }
 
     SystemClock clock;
     Runtime runtime;
-    ResettingTarget target;
+    Target target;
     std::shared_ptr<GuardedTarget> guarded;
 };
 
@@ -150,7 +216,7 @@
 
 TEST_CASE("A request whose connection is reset while the target works on it does not reach that target again")
 {
-    GuardedResets resets(60ms);
+    Guarded<ResettingTarget> resets(4, 60ms);
     REQUIRE(resets.get().whole);
     const ExchangeResult result = resets.get();
     CHECK_FALSE(result.whole);
@@ -161,7 +227,7 @@
 
 TEST_CASE("A request whose connection is reset at once is left to the budget of its caller's node, too")
 {
-    GuardedResets resets(0ms);
+    Guarded<ResettingTarget> resets(4, 0ms);
     REQUIRE(resets.get().whole);
     const ExchangeResult result = resets.get();
     CHECK_FALSE(result.whole);
@@ -171,4 +237,20 @@
     CHECK(resets.get().whole);
 }
 
+TEST_CASE("A target is told the time that is left when its request is sent, not when the caller sent it")
+{
+    Guarded<TimedTarget> guarded(1);
+    auto first = guarded.send(1s);
+    auto second = guarded.send(1s);
+    REQUIRE(first.get().whole);
+    REQUIRE(second.get().whole);
+    const std::vector<int> told = guarded.target.told();
+    REQUIRE(told.size() == 2);
+    CHECK(told[0] > 0);
+    CHECK(told[0] <= 1000);
+    // The second one waited for the slot while the first one took 200 ms.
+    CHECK(told[1] > 0);
+    CHECK(told[1] <= 800);
+}
+
 }
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -105,6 +105,7 @@
     async def send(self, method, path, body, request):
         host = self.random.choice(soak.NODES)
         fields = {"Shallotrelay-Request-Id": request, "Shallotrelay-Deadline-Ms": "1000"}
+        self.deadlines[request] = time.monotonic() + 1
         try:
             return await soak.call(host, soak.DOOR, method, path, body, fields, timeout=2)
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -173,6 +173,7 @@
         if fields.get("shallotrelay-expect-instance", self.id) != self.id:
             return self.message(421, b"", request, not_executed=True)
         self.soak.ran(request, fields.get("shallotrelay-caller-service"))
+        self.soak.check_deadline(request, fields.get("shallotrelay-deadline-ms"))
         await asyncio.sleep(0.005 + 0.02 * random.random())
         return self.message(200, request.encode() * 50, request)
 
@@ -199,6 +200,7 @@
         self.workers = []
         self.struck = set()
         self.runs = {}
+        self.deadlines = {}  # by id of requests: when their caller stops to wait
         self.unsafe = {}  # status by id of requests that must not be repeated
         self.faults = []
         self.broken = []
@@ -214,6 +216,14 @@
         if not caller:
             self.broken.append("a request arrived without the caller's service: " + request)
 
+    def check_deadline(self, request, told):
+        """A worker is told the time that the caller has left, and not half a second more."""
+        if request not in self.deadlines:
+            return
+        left = 1000 * (self.deadlines[request] - time.monotonic())
+        if told is None or int(told) > left + 500:
+            self.broken.append("a worker was told %s ms where %.0f are left: %s" % (told, left, request))
+
     def command(self, host):
         seeds = ",".join("%s:%d" % (it, OPERATOR) for it in CONTROLS)
         name = host.replace("127.0.", "p").replace(".", "-")
@@ -304,6 +314,7 @@
             try:
                 if writer is None:
                     reader, writer = await asyncio.wait_for(asyncio.open_connection(host, DOOR), 1)
+                self.deadlines[request] = time.monotonic() + 1
                 writer.write(head.encode() + body)
                 line, fields = await asyncio.wait_for(read_head(reader), 3)
                 answer = await asyncio.wait_for(read_body(reader, fields), 3)
--- a/tests/unit/replicatest.cpp
+++ b/tests/unit/replicatest.cpp
@@ -49,6 +49,9 @@
             m_hosts.emplace_back();
             m_hosts[i].member = members[i];
             m_hosts[i].disk.stored.snapshot.members = members;
+            for (const ReplicaMember &it : members) {
+                m_hosts[i].seeds.insert(it.address);
+            }
             boot(i);
         }
     }
@@ -80,6 +83,8 @@
         kill(host);
         m_hosts[host].member = memberOf(host, ++m_hosts[host].lives);
         m_hosts[host].disk = {};
+        m_hosts[host].diskSince = m_now;
+        writeSettings(host);
         boot(host);
     }
 
@@ -88,6 +93,8 @@
         m_hosts.emplace_back();
         const std::size_t host = m_hosts.size() - 1;
         m_hosts[host].member = memberOf(host, 0);
+        m_hosts[host].diskSince = m_now;
+        writeSettings(host);
         boot(host);
         return host;
     }
@@ -103,6 +110,12 @@
         m_hosts[host].busy = busy;
     }
 
+    /// Switches off that replicas pass on wishes to join.
+    void passNothingOn()
+    {
+        m_passesOn = false;
+    }
+
     void setLoss(double share)
     {
         m_loss = share;
@@ -169,6 +182,45 @@
         return m_hosts.size();
     }
 
+    /// Marks a host that never comes back.
+    void retire(std::size_t host)
+    {
+        m_hosts[host].retired = true;
+    }
+
+    bool retired(std::size_t host) const
+    {
+        return m_hosts[host].retired;
+    }
+
+    /// Returns the living host whose disk has lasted longest.
+    std::size_t oldest() const
+    {
+        std::size_t out = 0;
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            const bool better
+                = m_hosts[i].replica && (!m_hosts[out].replica || m_hosts[i].diskSince < m_hosts[out].diskSince);
+            out = better ? i : out;
+        }
+        return out;
+    }
+
+    /// Returns how many voters of the leader's view run under the identity that it names.
+    std::size_t livingVoters() const
+    {
+        const std::optional<std::size_t> host = leader();
+        std::size_t out = 0;
+        for (const Host &it : m_hosts) {
+            const auto &members = m_hosts[*host].replica->members();
+            out += it.replica
+                           && std::any_of(members.begin(), members.end(),
+                                          [&](const ReplicaMember &member) { return member.id == it.member.id; })
+                       ? 1
+                       : 0;
+        }
+        return out;
+    }
+
     void pump(std::size_t host)
     {
         ReplicaOutput output = m_hosts[host].replica->take();
@@ -208,9 +260,26 @@
         std::unique_ptr<Replica> replica;
         std::map<std::uint64_t, std::string> applied;
         std::size_t lives = 0;
+        std::set<std::string> seeds; // addresses in its settings
+        TimePoint diskSince;
         bool cut = false;
         bool busy = false;
+        bool retired = false;
     };
+    /// Names three replicas that have not been taken away for good, whether they run or not.
+    void writeSettings(std::size_t host)
+    {
+        std::vector<std::string> others;
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            if (i != host && !m_hosts[i].retired) {
+                others.push_back(m_hosts[i].member.address);
+            }
+        }
+        std::shuffle(others.begin(), others.end(), m_random);
+        others.resize(std::min<std::size_t>(others.size(), 3));
+        m_hosts[host].seeds = {others.begin(), others.end()};
+    }
+
     struct Letter {
         ConsensusMessage message;
         std::size_t from = 0;
@@ -251,12 +320,31 @@
         }
     }
 
+    /// Asks the addresses that a replica knows: those of its settings and of the voters in its log. Nobody tells it who
+    /// leads.
     void askToJoin(std::size_t host)
     {
-        const std::optional<std::size_t> to = leader();
-        if (to && *to != host && !m_hosts[host].cut) {
-            m_hosts[*to].replica->join(m_hosts[host].member, m_now);
-            pump(*to);
+        std::set<std::string> known = m_hosts[host].seeds;
+        for (const ReplicaMember &it : m_hosts[host].replica->members()) {
+            known.insert(it.address);
+        }
+        for (const std::string &it : known) {
+            takeJoin(host, it, m_hosts[host].member, false);
+        }
+    }
+
+    void takeJoin(std::size_t from, const std::string &address, const ReplicaMember &member, bool passedOn)
+    {
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            const bool reached = m_hosts[i].member.address == address && m_hosts[i].replica && i != from;
+            if (!reached || m_hosts[i].cut || m_hosts[from].cut || m_hosts[i].busy) {
+                continue;
+            }
+            const auto leader = m_hosts[i].replica->join(member, m_now);
+            pump(i);
+            if (leader && !passedOn && m_passesOn) {
+                takeJoin(i, *leader, member, true);
+            }
         }
     }
 
@@ -284,6 +372,7 @@
 
     Random m_random;
     TimePoint m_now = shallotrelay::at(0s);
+    bool m_passesOn = true; // whether wishes to join reach the leader through others
     std::deque<Host> m_hosts;
     std::deque<Letter> m_letters;
     std::map<std::uint64_t, std::string> m_leaderOfTerm;
@@ -447,6 +536,104 @@
     CHECK(cluster.safe);
 }
 
+TEST_CASE("A lost disk is made good while the leader is none of those that the settings name")
+{
+    Cluster cluster(3, 9);
+    cluster.run(1s);
+    const std::size_t added = cluster.add();
+    cluster.add();
+    cluster.run(3s);
+    REQUIRE(votersOf(cluster) == 5);
+    // Whoever of the three in the settings leads is stopped until one of the two others does.
+    while (*cluster.leader() < added) {
+        const std::size_t leader = *cluster.leader();
+        cluster.cut(leader, true);
+        cluster.run(2s);
+        cluster.cut(leader, false);
+        cluster.run(1s);
+        REQUIRE(cluster.leader());
+    }
+    cluster.wipe(0);
+    cluster.run(2s);
+    REQUIRE(cluster.leader());
+    const auto &members = cluster.at(*cluster.leader()).members();
+    CHECK(members.size() == 5);
+    CHECK(std::any_of(members.begin(), members.end(),
+                      [](const ReplicaMember &it) { return it.id == Cluster::memberOf(0, 1).id; }));
+}
+
+TEST_CASE("Without wishes that are passed on, lost disks are not made good, so the check below can fail")
+{
+    int missed = 0;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Cluster cluster(3, seed);
+        cluster.passNothingOn();
+        cluster.run(1s);
+        cluster.add();
+        cluster.add();
+        cluster.run(4s);
+        cluster.wipe(cluster.oldest());
+        cluster.run(4s);
+        missed += cluster.leader() && cluster.livingVoters() == 5 ? 0 : 1;
+    }
+    CHECK(missed > 0);
+}
+
+TEST_CASE("The group is whole again after each of a chain of lost disks and replaced replicas")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Cluster cluster(3, seed);
+        cluster.run(1s);
+        cluster.add();
+        cluster.add();
+        cluster.run(3s);
+        REQUIRE(votersOf(cluster) == 5);
+        Random random(seed);
+        for (int step = 0; step < 6; ++step) {
+            cluster.propose("kept " + std::to_string(step));
+            cluster.run(100ms);
+            // The one whose disk has lasted longest, the leader, or any; wiped, or gone and replaced elsewhere.
+            std::size_t victim = randomBelow(random, 3) == 0 ? *cluster.leader() : cluster.oldest();
+            if (!cluster.alive(victim)) {
+                victim = *cluster.leader();
+            }
+            if (randomBelow(random, 2) == 0) {
+                cluster.wipe(victim);
+            } else {
+                cluster.kill(victim);
+                cluster.retire(victim);
+                cluster.run(std::chrono::milliseconds(randomBelow(random, 1500)));
+                cluster.add();
+            }
+            cluster.run(4s);
+            INFO("seed " << seed << ", step " << step);
+            REQUIRE(cluster.leader());
+            CHECK(cluster.livingVoters() == 5);
+            CHECK(votersOf(cluster) == 5);
+        }
+        // Right after an acknowledgement one more disk is lost while all others lose power.
+        cluster.propose("last");
+        cluster.run(100ms);
+        const std::uint64_t commit = cluster.at(*cluster.leader()).commit();
+        const std::size_t victim = *cluster.leader();
+        for (std::size_t i = 0; i < cluster.size(); ++i) {
+            if (cluster.alive(i)) {
+                cluster.kill(i);
+            }
+        }
+        cluster.wipe(victim);
+        for (std::size_t i = 0; i < cluster.size(); ++i) {
+            if (!cluster.alive(i) && !cluster.retired(i)) {
+                cluster.boot(i);
+            }
+        }
+        cluster.run(3s);
+        REQUIRE(cluster.leader());
+        CHECK(cluster.at(*cluster.leader()).commit() >= commit);
+        CHECK(cluster.safe);
+    }
+}
+
 TEST_CASE("Replicas never disagree, whatever is killed, wiped, cut off or lost")
 {
     rc::check("safety under faults", [] {
