A target that falls silent when it crashes is blamed on what its callers gave up

Cause: the guard took only connections that were cut off for a crash. A target that goes dark cuts nothing off; its requests end at their deadlines, and when it starts again nothing was left to blame, so a request that crashes it in that way would be sent on. Runs that were given up count only where no connection was cut off, and only since the last sign of life, so second tries that lost a race are not blamed.

--- a/include/shallotrelay/containment/crashwatch.h
+++ b/include/shallotrelay/containment/crashwatch.h
@@ -49,9 +49,13 @@
     /// Notes that the target has a whole request and may begin to work on it.
     void started(GuardTicket ticket, WatchedRun run, TimePoint now);
 
-    /// Notes that a run ended without a sign of a crash: it was answered, rejected or given up.
+    /// Notes that a run ended without a sign of a crash: it was answered or rejected.
     void ended(GuardTicket ticket);
 
+    /// Notes that the caller gave a run up before there was an answer. A target that falls silent when it crashes cuts
+    /// no connection off; then these runs count if a sign of a crash follows before a sign of life.
+    void abandoned(GuardTicket ticket, TimePoint now);
+
     /// Notes that the connection of a run was cut off before the answer was whole.
     void cutOff(GuardTicket ticket, TimePoint now);
 
@@ -59,17 +63,20 @@
     /// cut off before was no crash.
     void alive(TimePoint sentAt);
 
-    /// Takes in a sign of a crash; returns the crash unless nothing was cut off, or runs that are as old still go on
-    /// and may yet be answered.
+    /// Takes in a sign of a crash; returns the crash unless nothing was cut off or given up, or runs that are as old
+    /// still go on and may yet be answered.
     std::optional<Crash> signOfCrash(CrashEvidence evidence, TimePoint now);
 
 private:
     struct Run {
         WatchedRun run;
         TimePoint start;
-        std::optional<TimePoint> cutAt;
+        std::optional<TimePoint> cutAt; // when its connection was cut off
+        std::optional<TimePoint> abandonedAt; // when its caller gave it up
     };
 
+    std::optional<TimePoint> firstOf(std::optional<TimePoint> Run::*time) const;
+
     std::map<GuardTicket, Run> m_runs;
 };
 
--- a/src/containment/crashwatch.cpp
+++ b/src/containment/crashwatch.cpp
@@ -21,8 +21,11 @@
 
 void CrashWatch::started(GuardTicket ticket, WatchedRun run, TimePoint now)
 {
-    std::erase_if(m_runs, [&](const auto &it) { return it.second.cutAt && now - *it.second.cutAt > CutMemory; });
-    m_runs[ticket] = Run{std::move(run), now, {}};
+    std::erase_if(m_runs, [&](const auto &it) {
+        const auto over = it.second.cutAt ? it.second.cutAt : it.second.abandonedAt;
+        return over && now - *over > CutMemory;
+    });
+    m_runs[ticket] = Run{std::move(run), now, {}, {}};
 }
 
 void CrashWatch::ended(GuardTicket ticket)
@@ -33,6 +36,14 @@
     }
 }
 
+void CrashWatch::abandoned(GuardTicket ticket, TimePoint now)
+{
+    const auto it = m_runs.find(ticket);
+    if (it != m_runs.end()) {
+        it->second.abandonedAt = now;
+    }
+}
+
 void CrashWatch::cutOff(GuardTicket ticket, TimePoint now)
 {
     const auto it = m_runs.find(ticket);
@@ -43,27 +54,29 @@
 
 void CrashWatch::alive(TimePoint sentAt)
 {
-    std::erase_if(m_runs, [&](const auto &it) { return it.second.cutAt && *it.second.cutAt <= sentAt; });
+    std::erase_if(m_runs, [&](const auto &it) {
+        const auto over = it.second.cutAt ? it.second.cutAt : it.second.abandonedAt;
+        return over && *over <= sentAt;
+    });
 }
 
 std::optional<Crash> CrashWatch::signOfCrash(CrashEvidence evidence, TimePoint now)
 {
-    std::optional<TimePoint> firstCut;
-    for (const auto &it : m_runs) {
-        if (it.second.cutAt && (!firstCut || *it.second.cutAt < *firstCut)) {
-            firstCut = it.second.cutAt;
-        }
-    }
-    if (!firstCut) {
+    const auto firstCut = firstOf(&Run::cutAt);
+    const auto firstSign = firstCut ? firstCut : firstOf(&Run::abandonedAt);
+    if (!firstSign) {
         return std::nullopt;
     }
-    const auto goesOn = [&](const auto &it) { return !it.second.cutAt && it.second.start < *firstCut; };
-    if (now - *firstCut < SettleTime && std::any_of(m_runs.begin(), m_runs.end(), goesOn)) {
+    const auto isOver = [&](const Run &run) { return firstCut ? run.cutAt.has_value() : run.abandonedAt.has_value(); };
+    const auto goesOn
+        = [&](const auto &it) { return !it.second.abandonedAt && !isOver(it.second) && it.second.start < *firstSign; };
+    const bool mayBeLate = now - *firstSign < SettleTime;
+    if (mayBeLate && std::any_of(m_runs.begin(), m_runs.end(), goesOn)) {
         return std::nullopt;
     }
-    Crash out{evidence, now - *firstCut, {}, {}};
+    Crash out{evidence, now - *firstSign, {}, {}};
     for (const auto &it : m_runs) {
-        if (it.second.start <= *firstCut || it.second.cutAt) {
+        if (isOver(it.second) || goesOn(it)) {
             out.runs.push_back(it.second.run);
         }
     }
@@ -71,4 +84,15 @@
     return out;
 }
 
+/// Returns the earliest of the times that runs have of a kind.
+std::optional<TimePoint> CrashWatch::firstOf(std::optional<TimePoint> Run::*time) const
+{
+    std::optional<TimePoint> out;
+    for (const auto &it : m_runs) {
+        const auto &at = it.second.*time;
+        out = at && (!out || *at < *out) ? at : out;
+    }
+    return out;
+}
+
 }
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -180,6 +180,12 @@
         crashes.ended(ticket);
     }
 
+    void noteAbandoned(GuardTicket ticket)
+    {
+        const std::lock_guard lock(mutex);
+        crashes.abandoned(ticket, options.clock->now());
+    }
+
     void noteCutOff(GuardTicket ticket)
     {
         const std::lock_guard lock(mutex);
@@ -241,12 +247,13 @@
 
     ~Slot()
     {
-        m_impl->noteRunEnd(m_ticket);
         if (m_waiter) {
             leaveQueue();
         } else if (m_admitted && m_connection && !m_headSeen) {
+            m_impl->noteAbandoned(m_ticket);
             abandon();
         } else if (m_admitted) {
+            m_impl->noteRunEnd(m_ticket);
             m_impl->finish(m_ticket, m_outcome);
         }
     }
@@ -328,6 +335,7 @@
     void finish()
     {
         m_admitted = false;
+        m_impl->noteRunEnd(m_ticket);
         m_impl->finish(m_ticket, m_outcome);
     }
 
--- a/tests/unit/crashwatchtest.cpp
+++ b/tests/unit/crashwatchtest.cpp
@@ -124,4 +124,38 @@
     CHECK(watch.signOfCrash(CrashEvidence::NothingListens, at(130ms)));
 }
 
+TEST_CASE("A target that falls silent and starts again has crashed under what its callers gave up")
+{
+    CrashWatch watch;
+    watch.alive(at(0ms));
+    watch.started(1, runOf(1), at(10ms));
+    watch.started(2, runOf(2), at(20ms));
+    watch.abandoned(1, at(500ms));
+    const auto crash = watch.signOfCrash(CrashEvidence::NewStart, at(2s));
+    REQUIRE(crash);
+    CHECK(crash->runs.size() == 2);
+}
+
+TEST_CASE("What callers gave up while the target lived is no suspect of a later crash")
+{
+    CrashWatch watch;
+    watch.started(1, runOf(1), at(0ms));
+    watch.abandoned(1, at(50ms));
+    watch.alive(at(100ms));
+    CHECK_FALSE(watch.signOfCrash(CrashEvidence::NewStart, at(200ms)));
+}
+
+TEST_CASE("What callers gave up says nothing where connections are cut off")
+{
+    CrashWatch watch;
+    watch.started(1, runOf(1), at(0ms));
+    watch.abandoned(1, at(50ms));
+    watch.started(2, runOf(2), at(60ms));
+    watch.cutOff(2, at(70ms));
+    const auto crash = watch.signOfCrash(CrashEvidence::NothingListens, at(71ms));
+    REQUIRE(crash);
+    REQUIRE(crash->runs.size() == 1);
+    CHECK(crash->runs[0].print.whole == 2);
+}
+
 }
