An answer is written to its caller by the call alone, so nothing uses the connection after the call was cancelled

Cause: the tries of a race run as coroutines of their own, and the one that won wrote to the caller's connection itself. When the caller left in that moment, the call was cancelled and the connection with its buffers destroyed, while the write of the try came back and used it. The window is one turn of the event loop for a small answer, longer for a slow caller. The fault is older than this incident; it is a memory fault, so other ends by themselves may have had the same cause. Why the fix works: a try hands pieces of its answer to the race, and they are written within TryRace::next(), which the call itself awaits; cancelling the call ends the write before the connection goes.

--- a/src/daemon/tryrace.cpp
+++ b/src/daemon/tryrace.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace shallotrelay
 {
@@ -56,14 +57,11 @@
         if (!mayGoOn()) {
             co_return lost();
         }
-        if (m_passing) {
-            co_return co_await m_race->m_sink->chunk(std::move(data), flush);
-        }
         m_body.append(data);
-        if (m_body.size() <= m_race->m_holdBytes) {
+        if (!m_passing && m_body.size() <= m_race->m_holdBytes) {
             co_return absl::OkStatus();
         }
-        co_return co_await pass(Flush::Now);
+        co_return co_await pass(m_passing ? flush : Flush::Now, std::nullopt);
     }
 
     asio::awaitable<absl::Status> end(const LoadReport &load) override
@@ -71,12 +69,7 @@
         if (!mayGoOn()) {
             co_return lost();
         }
-        if (!m_passing) {
-            if (const absl::Status status = co_await pass(Flush::WithNext); !status.ok()) {
-                co_return status;
-            }
-        }
-        co_return co_await m_race->m_sink->end(load);
+        co_return co_await pass(Flush::WithNext, load);
     }
 
     asio::awaitable<absl::Status> admitted(const LoadReport &) override
@@ -95,20 +88,27 @@
         return m_race->m_sink != nullptr && (m_race->m_winner == nullptr || m_race->m_winner == &m_attempt);
     }
 
-    asio::awaitable<absl::Status> pass(Flush flush)
+    /// Has what is held given to the caller, and waits until that is done.
+    asio::awaitable<absl::Status> pass(Flush flush, std::optional<LoadReport> end)
     {
         if (!m_race->claim(m_attempt)) {
             co_return lost();
         }
-        m_passing = true;
-        if (const absl::Status status = co_await m_race->m_sink->head(m_head, Flush::WithNext); !status.ok()) {
-            co_return status;
+        const auto piece = std::make_shared<Piece>(m_race->m_executor);
+        if (!std::exchange(m_passing, true)) {
+            piece->head = m_head;
         }
-        if (m_body.empty() || m_race->m_sink == nullptr) {
-            co_return absl::OkStatus();
+        piece->body = std::exchange(m_body, {});
+        piece->flush = flush;
+        piece->end = end;
+        m_race->m_piece = piece;
+        m_race->m_wake.cancel();
+        while (!piece->done) {
+            piece->given.expires_at(asio::steady_timer::time_point::max());
+            co_await piece->given.async_wait(AsTuple);
+            co_await throwIfCancelled();
         }
-        std::string body = std::exchange(m_body, {});
-        co_return co_await m_race->m_sink->chunk(std::move(body), flush);
+        co_return piece->status;
     }
 
     std::shared_ptr<TryRace> m_race;
@@ -156,6 +156,12 @@
 asio::awaitable<std::shared_ptr<TryRace::Attempt>> TryRace::next(const Clock &clock, TimePoint until)
 {
     for (;;) {
+        if (const auto piece = std::exchange(m_piece, nullptr)) {
+            piece->status = co_await give(*m_sink, *piece);
+            piece->done = true;
+            piece->given.cancel();
+            continue;
+        }
         if (const auto ended = takeEnded()) {
             co_return ended;
         }
@@ -168,6 +174,21 @@
     }
 }
 
+asio::awaitable<absl::Status> TryRace::give(CallerSink &sink, Piece &piece)
+{
+    absl::Status status;
+    if (piece.head) {
+        status = co_await sink.head(*piece.head, Flush::WithNext);
+    }
+    if (status.ok() && !piece.body.empty()) {
+        status = co_await sink.chunk(std::move(piece.body), piece.flush);
+    }
+    if (status.ok() && piece.end) {
+        status = co_await sink.end(*piece.end);
+    }
+    co_return status;
+}
+
 /// The winner goes before the tries that it cancelled.
 std::shared_ptr<TryRace::Attempt> TryRace::takeEnded()
 {
--- a/src/daemon/tryrace.h
+++ b/src/daemon/tryrace.h
@@ -9,6 +9,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace shallotrelay
@@ -38,7 +40,8 @@
     /// Starts a try.
     void start(const std::shared_ptr<Attempt> &attempt, TimePoint deadline);
 
-    /// Returns the next try that has ended, or nullptr once the time is over.
+    /// Returns the next try that has ended, or nullptr once the time is over. Answers reach the caller during this call
+    /// alone, so that nothing uses the caller's connection once the call was cancelled.
     asio::awaitable<std::shared_ptr<Attempt>> next(const Clock &clock, TimePoint until);
 
     /// Returns how many tries run.
@@ -50,6 +53,24 @@
 private:
     class Sink;
 
+    /// A part of the answer on its way from the try that has won to the caller.
+    struct Piece {
+        explicit Piece(const asio::any_io_executor &executor)
+            : given(executor)
+        {
+        }
+
+        std::optional<ResponseHead> head;
+        std::string body;
+        Flush flush = Flush::Now;
+        std::optional<LoadReport> end;
+        absl::Status status;
+        bool done = false;
+        asio::steady_timer given;
+    };
+
+    static asio::awaitable<absl::Status> give(CallerSink &sink, Piece &piece);
+
     static asio::awaitable<void> runOne(std::shared_ptr<TryRace> self, std::shared_ptr<Attempt> attempt,
                                         std::shared_ptr<StopSource> stop, TimePoint deadline);
     bool claim(const Attempt &attempt);
@@ -60,6 +81,7 @@
     std::size_t m_holdBytes;
     DropsAnswer m_dropsAnswer;
     asio::steady_timer m_wake;
+    std::shared_ptr<Piece> m_piece; // waits to be given to the caller
     std::vector<std::shared_ptr<Attempt>> m_attempts;
     std::vector<std::shared_ptr<StopSource>> m_stops;
     const Attempt *m_winner = nullptr;
