--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -90,6 +90,9 @@
         options.stallTimeout = m_options.stallTimeout;
         options.onDecision
             = [this](const RequestHead &request, const GuardDecision &decision) { noteDecision(request, decision); };
+        options.onTrial = [this](const RequestHead &request, const RequestPrint &print, TrialAnswer answer) {
+            noteTrial(request, print, answer);
+        };
         options.onCrash = [this, name = announcement.name](const Crash &crash) { noteCrash(name, crash); };
         entry.guarded = std::make_shared<GuardedTarget>(options);
         const ClaimOwner self{m_options.peerAddress, announcement.name, m_options.incarnation};
@@ -134,6 +137,14 @@
     m_log.write(LogLevel::Info, "guard", line);
 }
 
+void LocalTargets::noteTrial(const RequestHead &request, const RequestPrint &print, TrialAnswer answer)
+{
+    LogFields line;
+    line.add("request", request.requestId).add("target", request.target).add("print", toString(print));
+    line.add("answer", toString(answer));
+    m_log.write(LogLevel::Info, "trial", line);
+}
+
 void LocalTargets::noteCrash(const std::string &target, const Crash &crash)
 {
     m_metrics.counter("shallotrelay_target_crashes_total", "Crashes of targets that were running requests").Increment();
--- a/src/daemon/localtargets.h
+++ b/src/daemon/localtargets.h
@@ -84,6 +84,7 @@
     };
 
     void noteDecision(const RequestHead &request, const GuardDecision &decision);
+    void noteTrial(const RequestHead &request, const RequestPrint &print, TrialAnswer answer);
     void noteCrash(const std::string &target, const Crash &crash);
     TargetRecord toRecord(const Entry &entry) const;
     GuardPolicy policyOf(const Entry &entry) const;
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -844,7 +844,12 @@
                 co_return ExchangeResult{};
             }
         }
-        const TrialAnswer answer = trial.enter(printer->print(), impl->options.standing(printer->print()));
+        const RequestPrint print = printer->print();
+        const Standing standing = impl->options.standing(print);
+        const TrialAnswer answer = trial.enter(print, standing);
+        if (standing != Standing::Clear && impl->options.onTrial) {
+            impl->options.onTrial(head, print, answer);
+        }
         alone = answer == TrialAnswer::RunAlone;
         if (answer != TrialAnswer::Run && !alone) {
             co_return trialRefusal(answer, load());
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -55,6 +55,8 @@
     std::function<bool(const RequestHead &head)> doubts;
     /// Returns whether a request may run; asked only for those that are in doubt.
     std::function<Standing(const RequestPrint &print)> standing;
+    /// Called when a request in doubt asks for its trial here.
+    std::function<void(const RequestHead &request, const RequestPrint &print, TrialAnswer answer)> onTrial;
     /// Called when a request ran to its end.
     std::function<void(const RequestPrint &print)> onCleanRun;
     /// Called when the target has crashed, with what it was running.
