--- a/tests/unit/containmenttest.cpp
+++ b/tests/unit/containmenttest.cpp
@@ -24,9 +24,11 @@
     CrashLedger ledger;
     std::uint64_t nextCrash = 1;
 
-    CrashNotice crash(std::vector<std::uint64_t> prints, TimePoint now, std::vector<std::uint64_t> onTrial = {})
+    CrashNotice crash(const std::vector<std::uint64_t> &prints, TimePoint now,
+                      const std::vector<std::uint64_t> &onTrial = {})
     {
         std::vector<RequestPrint> runs;
+        runs.reserve(prints.size());
         for (const std::uint64_t it : prints) {
             runs.push_back(printOf(it));
         }
