--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -64,8 +64,8 @@
 constexpr std::size_t HoldAnswerBytes = 128 * 1024;
 /// Request bodies up to this size are held, so that they can be sent to another target.
 constexpr std::size_t HoldBodyBytes = 64 * 1024;
-/// Part of the shared retries that nodes take; the rest covers what a node cannot count, such as calls of runs that other
-/// nodes have repeated.
+/// Part of the shared retries that nodes take; the rest covers what a node cannot count, such as calls of runs that
+/// other nodes have repeated.
 constexpr double RetryShare = 0.75;
 /// Part of what a cold target may get beyond its stated rate that is used; the rest covers starts that arrive late.
 constexpr double ColdMarginShare = 0.5;
