Requests sent ahead on a connection run at the same time

Cause: a session of the door read a request, served it to its end and only then looked at the next, so one slow request held up all that its caller had sent behind it while other targets idled. tests/process/sentaheadtest.cpp shows it.

Now each request is a turn of its own; up to 16 of a connection and 256 behind others of a node run at once, answers go out in order. One that must not run twice starts only when all before it are answered, since a close in between makes the caller send it again. An answer that waits for its turn is delivered although its deadline passes meanwhile. A stopping node answers all that it has read and says 'close' with the last.

--- a/src/net/doorsession.h
+++ b/src/net/doorsession.h
@@ -1,47 +1,13 @@
 /// One connection of a caller. Internal to the door.
 #pragma once
 
-#include "net/door.h"
-#include "net/stopsource.h"
-
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
-#include <atomic>
-#include <optional>
-#include <string>
+#include "net/doorturn.h"
+#include "shallotrelay/admission/aheadwindow.h"
 
 namespace shallotrelay
 {
 
-/// What all sessions of a door share.
-struct DoorContext {
-    DoorContext(const Clock &c, DoorOptions o, Door::Dispatch d)
-        : clock(c)
-        , options(std::move(o))
-        , dispatch(std::move(d))
-    {
-    }
-
-    DoorContext(DoorContext &&other) noexcept
-        : clock(other.clock)
-        , options(std::move(other.options))
-        , dispatch(std::move(other.dispatch))
-    {
-    }
-
-    const Clock &clock;
-    DoorOptions options;
-    Door::Dispatch dispatch;
-    std::atomic<bool> draining = false;
-    std::atomic<bool> refusing = false;
-    std::atomic<std::size_t> connections = 0;
-    std::atomic<std::size_t> inProgress = 0;
-};
-
-/// Serves the requests of one connection, one after the other.
+/// Reads the requests of one connection and starts each as soon as it may run.
 class DoorSession
 {
 public:
@@ -51,26 +17,18 @@
     asio::awaitable<void> run();
 
 private:
-    using Parser = http::request_parser<http::buffer_body>;
-
-    class Source;
-    class Sink;
-
-    asio::awaitable<void> lingerAndClose();
     asio::awaitable<bool> waitForRequest();
-    asio::awaitable<bool> readHead();
-    asio::awaitable<bool> serveRequest();
-    asio::awaitable<bool> refuseHead(std::uint16_t status, std::string reason);
-    asio::awaitable<ExchangeResult> dispatch(CallerRequest &request, Source &source, Sink &sink);
-    void watchCaller(const std::shared_ptr<StopSource> &stop);
-    absl::StatusOr<CallerRequest> toRequest();
-    bool keepAlive() const;
+    asio::awaitable<void> watchWhileBusy(bool mayRead);
+    asio::awaitable<bool> readHead(DoorTurn &turn);
+    asio::awaitable<void> start(std::shared_ptr<DoorTurn> turn);
+    asio::awaitable<void> untilChanged();
+    asio::awaitable<void> untilAnswered();
+    asio::awaitable<void> lingerAndClose();
+    AheadLoad load() const;
 
-    DoorContext &m_context;
-    boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
+    DoorConnection m_connection;
     bool m_served = false;
+    bool m_inputWaits = false; // input has arrived that may not be read yet
 };
 
 }
