No work starts in a slow phase of its VM: the guard asks for the pace right before a start

Ruled out: waiting (median in flight 3 of 9 slots), processor time of nodes.

Now the guard asks its target's health path before a start unless an answer told the pace in the last 10 ms (within 0.8 of the probes that the settings allow); in a slow phase a request that may go elsewhere is refused as not run, and what waits does not start. timeInSlowPhase() is gone; its test in placingtest.cpp is replaced by one of what remains true (how long a told pace counts), as strict.

--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -13,6 +13,7 @@
 ///     GuardAnswer answer = guard.offer({ticket, deadline, true}, now);
 #pragma once
 
+#include "shallotrelay/admission/pacegate.h"
 #include "shallotrelay/admission/waitingline.h"
 #include "shallotrelay/base/clock.h"
 #include "shallotrelay/guard/coldrate.h"
@@ -80,6 +81,7 @@
     NotServed, ///< The bundle does not let the target serve.
     Absent, ///< No target announced itself.
     Expired, ///< The deadline passed before the request could start.
+    SlowPhase, ///< Work takes several times as long on the VM at present, and the request may go elsewhere.
     AnotherAlone, ///< It may run only alone, and another such request waits or runs.
 };
 
@@ -134,6 +136,16 @@
     /// Notes how long work takes on the VM of the target at present, in percent of the usual time.
     void setPace(std::uint32_t percent, TimePoint now);
 
+    /// Sets how often the target may be asked for its pace, in questions a second.
+    void setLooksPerSecond(double looks);
+
+    /// Returns whether the target is to be asked for its pace before a request is offered or released; takes the
+    /// question out of the bound.
+    bool takeLook(TimePoint now);
+
+    /// Returns the expected time until a slow phase of the VM is over, zero if none holds starts back.
+    Duration slowPhaseLeft(TimePoint now) const;
+
     /// Returns whether the target is in cold start as far as is known.
     bool cold(TimePoint now) const;
 
@@ -178,7 +190,7 @@
         std::string route;
         bool repeats = false;
         double use = 0;
-        std::uint32_t pacePercent = 0;
+        bool startedSlow = false;
     };
     struct WaitingDetail {
         std::string route;
@@ -229,7 +241,7 @@
     std::map<std::string, std::uint32_t> m_priorities; // by route
     TimePoint m_coldUntil;
     TimePoint m_heldUntil;
-    std::uint32_t m_pacePercent = 0;
+    PaceGate m_pace;
     double m_baselineLatency = 0; // seconds, slow average while the target is healthy
     double m_recentLatency = 0; // seconds, fast average
     double m_failureShare = 0;
--- a/include/shallotrelay/limits/slowphase.h
+++ b/include/shallotrelay/limits/slowphase.h
@@ -1,23 +1,36 @@
-/// How long work takes on a VM that has turned slow for a short time.
+/// How long slow phases of a VM last.
 ///
-/// The load pattern: neighbours on the same machine slow a VM several times for a fraction of a second. Short work is
-/// slow from start to end; work that outlasts the phase loses no more than the phase.
+/// The load pattern: neighbours on the same machine slow a VM several times for a fraction of a second, again and
+/// again. Work that starts in such a phase takes several times as long to its end, also where it outlasts the phase
+/// (docs/DECISIONS.md, "Work that starts in a slow phase"). How long a pace that was told holds follows from the usual
+/// length of a phase, which is learnt.
 #pragma once
 
-#include <algorithm>
-#include <chrono>
+#include "shallotrelay/base/clock.h"
+
+#include <cstdint>
 
 namespace shallotrelay
 {
 
+/// A VM on which work takes this many percent of the usual time is in a slow phase.
+inline constexpr std::uint32_t SlowPacePercent = 180;
+
 /// A time in seconds, as averages are kept.
 using Seconds = std::chrono::duration<double>;
 
-/// Returns the time that work takes which usually takes the given time, on a VM with the given pace (the time that work
-/// takes there now, relative to the usual time), if the slow phase goes on for the given time.
-inline Seconds timeInSlowPhase(Seconds usual, double pace, Seconds phase)
+/// Learns the average length of slow phases from their ends.
+class SlowPhaseLength
 {
-    return std::min(usual * pace, usual + phase * std::max(0.0, 1 - 1 / pace));
-}
+public:
+    /// Takes in a phase that was first seen at a time, was seen last, and was found to be over.
+    void ended(TimePoint first, TimePoint last, TimePoint over);
+
+    /// Returns the average length.
+    Seconds average() const;
+
+private:
+    Seconds m_average{0.25}; // assumed until some were seen
+};
 
 }
--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -17,6 +17,7 @@
 
 #include "shallotrelay/base/clock.h"
 #include "shallotrelay/base/random.h"
+#include "shallotrelay/limits/slowphase.h"
 #include "shallotrelay/messages.h"
 
 #include <cstdint>
@@ -159,7 +160,7 @@
 
     RouterOptions m_options;
     std::map<std::string, Entry> m_entries;
-    double m_slowPhase; // seconds, average length of slow phases
+    SlowPhaseLength m_slowPhase;
 };
 
 }
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -85,6 +85,8 @@
 constexpr Duration LedgerExpiry = std::chrono::seconds(5);
 /// Other nodes that a starting node asks before it is ready.
 constexpr std::size_t FirstLedgerFetches = 3;
+/// Part of the probes that a target bears which may be questions for its pace; the rest covers probes of its health.
+constexpr double PaceLookShare = 0.8;
 constexpr double PercentScale = 100;
 
 std::uint64_t newIncarnation()
@@ -236,6 +238,8 @@
         out.checkAnswer = hooks.checkAnswer;
         out.targetFields = hooks.targetFields;
         out.onDoubt = [this](TargetDoubt doubt) { takeDoubt(doubt); };
+        out.pacePath = [this] { return healthPath(); };
+        out.looksPerSecond = options.probesPerSecond * PaceLookShare;
         out.onPace = [this] { tellLoad(true); };
         out.doubts = [this](const RequestHead &head) { return containment.doubts(head); };
         out.standing = [this](const RequestPrint &print) { return containment.standing(print); };
--- a/src/daemon/clusternode.h
+++ b/src/daemon/clusternode.h
@@ -56,6 +56,7 @@
         double retrySlack = 0; ///< Retries that all nodes share beyond that share.
         double coldFactor
             = 1; ///< Starts a second that a cold target may get at most, relative to what its service states.
+        double probesPerSecond = 0; ///< Probes a second that a target bears; 0 asks for its health alone.
         Duration grace{}; ///< Time between the stop signal and the kill.
         std::uint64_t seed = 0; ///< Seed of the random generator.
     };
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -1,7 +1,5 @@
 #include "shallotrelay/guard/guard.h"
 
-#include "shallotrelay/limits/slowphase.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -27,10 +25,8 @@
 /// Old requests, or fast answers, that make a change of speed.
 constexpr std::uint32_t MinOldForSlowness = 3;
 constexpr double PercentScale = 100;
-/// A pace up to this counts as usual, in percent.
-constexpr std::uint32_t UsualPacePercent = 130;
-/// Longest time by which a slow phase of the VM delays a request.
-constexpr Seconds SlowPhase(0.15);
+/// A pace up to this counts as usual, relative to the usual one.
+constexpr double UsualPace = 1.3;
 /// Part of the limit above which a target counts as busy.
 constexpr double BusyShare = 0.85;
 /// Routes whose work is remembered; a bound against routes that come and go.
@@ -81,6 +77,8 @@
         return "absent";
     case GuardRefusal::Expired:
         return "expired";
+    case GuardRefusal::SlowPhase:
+        return "slow-phase";
     case GuardRefusal::AnotherAlone:
         return "another-alone";
     }
@@ -160,9 +158,25 @@
     m_samples = 0;
 }
 
-void Guard::setPace(std::uint32_t percent, TimePoint)
+void Guard::setPace(std::uint32_t percent, TimePoint now)
+{
+    m_pace.observed(percent, now);
+}
+
+void Guard::setLooksPerSecond(double looks)
+{
+    m_pace.setLooksPerSecond(looks);
+}
+
+bool Guard::takeLook(TimePoint now)
+{
+    // A cold target bears few requests, so it is not asked.
+    return standingRefusal() == GuardRefusal::None && now >= m_heldUntil && !cold(now) && m_pace.takeLook(now);
+}
+
+Duration Guard::slowPhaseLeft(TimePoint now) const
 {
-    m_pacePercent = percent;
+    return m_pace.rest(now);
 }
 
 bool Guard::cold(TimePoint now) const
@@ -240,6 +254,11 @@
     if (offer.alone) {
         return offerAlone(offer, now);
     }
+    if (m_pace.holds(now) && !offer.lastOffer) {
+        answer.refusal = GuardRefusal::SlowPhase;
+        answer.retryAfter = std::max(LeastRetryAfter, m_pace.rest(now));
+        return answer;
+    }
     const bool first = ranksFirst(offer) && offer.lastOffer;
     if (wouldBeLate(offer, first, now)) {
         answer.refusal = GuardRefusal::TooLate;
@@ -311,13 +330,14 @@
 
 void Guard::start(GuardTicket ticket, const WaitingDetail &detail, TimePoint now)
 {
-    m_running[ticket] = {now, false, detail.route, detail.repeats, useAt(m_running.size() + 1), m_pacePercent};
+    m_running[ticket]
+        = {now, false, detail.route, detail.repeats, useAt(m_running.size() + 1), m_pace.factor(now) > UsualPace};
     m_coldRate.started(now);
 }
 
 bool Guard::mayStart(TimePoint now)
 {
-    if (m_alone || m_running.size() >= limit(now)) {
+    if (m_alone || m_running.size() >= limit(now) || m_pace.holds(now)) {
         return false;
     }
     return coldRateAllows(now);
@@ -346,9 +366,9 @@
     // What its calls take shows in the recent average only.
     const std::size_t running = std::min<std::size_t>(m_running.size() + 1, limit(now));
     const double crowded = usual * m_slowdown.factor(useAt(running));
-    const double pace = std::max(1.0, m_pacePercent / PercentScale);
-    const Seconds paced = timeInSlowPhase(Seconds(crowded), pace, SlowPhase);
-    return fromSeconds(std::max(average, paced.count()));
+    // Work that waits for the end of a slow phase does not start in it.
+    const double pace = m_pace.holds(now) ? 1 : m_pace.factor(now);
+    return fromSeconds(std::max(average, crowded * pace));
 }
 
 /// Returns whether less urgent requests share the target; these make room for it rather than it being turned away.
@@ -382,7 +402,7 @@
     if (cold(now) && m_policy.coldPerSecond > 0) {
         out.slots = std::clamp(m_policy.coldPerSecond * m_recentLatency, 1.0, out.slots);
     }
-    out.untilFirstSlot = fromSeconds(m_recentLatency / out.slots);
+    out.untilFirstSlot = std::max(fromSeconds(m_recentLatency / out.slots), m_pace.rest(now));
     return out;
 }
 
@@ -423,7 +443,7 @@
     if (outcome.answered && !outcome.failed) {
         learnLatency(outcome, now);
         const double latency = toSeconds(outcome.headLatency);
-        if (request.pacePercent <= UsualPacePercent && m_pacePercent <= UsualPacePercent) {
+        if (!request.startedSlow) {
             m_slowdown.answered(route, request.use, outcome.headLatency);
         }
         const auto known = m_workByRoute.find(route);
@@ -551,7 +571,7 @@
     report.failurePerMille = static_cast<std::uint32_t>(std::lround(m_failureShare * 1000));
     report.latencyUs = static_cast<std::uint32_t>(std::min(m_recentLatency * 1e6, 4e9));
     report.revision = m_policy.revision;
-    report.pacePercent = m_pacePercent;
+    report.pacePercent = m_pace.percent();
     report.fullSlowdownPercent
         = m_policy.refusesLate ? static_cast<std::uint32_t>(m_slowdown.full() * PercentScale) : 0;
     return report;
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -28,6 +28,12 @@
 /// A wait that is worth a log line.
 constexpr Duration ToldWait = std::chrono::milliseconds(1);
 
+/// Time between questions for the pace while requests wait for the end of a slow phase; a small part of a phase.
+constexpr Duration PaceLookGap = std::chrono::milliseconds(20);
+
+/// Time for the answer to such a question; it comes within a few milliseconds unless the target is in trouble.
+constexpr Duration PaceLookTimeout = std::chrono::milliseconds(60);
+
 /// Least time after which the outcome of a trial is known.
 constexpr Duration LeastTrialRetryAfter = std::chrono::milliseconds(50);
 
@@ -121,6 +127,7 @@
     explicit Impl(GuardedTargetOptions o)
         : options(std::move(o))
     {
+        guard.setLooksPerSecond(options.looksPerSecond);
     }
 
     /// Wakes the requests whose waiting ended; the lock must be held.
@@ -153,7 +160,9 @@
         }
         {
             const std::lock_guard lock(mutex);
-            guard.setPace(percent, options.clock->now());
+            const TimePoint now = options.clock->now();
+            guard.setPace(percent, now);
+            wake(guard.tick(now));
         }
         const std::uint32_t before = tellsPace.exchange(percent);
         const bool changed = 2 * percent > 3 * before || 2 * before > 3 * percent;
@@ -216,6 +225,26 @@
         return std::min<std::size_t>(connections - slots, slots);
     }
 
+    /// Takes an idle connection, or opens one if none is idle or a fresh one is wanted.
+    asio::awaitable<absl::StatusOr<ConnectionPointer>> connect(asio::any_io_executor executor, bool reuses)
+    {
+        while (ConnectionPointer connection = reuses ? idle.take(executor) : nullptr) {
+            if (!connection->stale()) {
+                co_return connection;
+            }
+        }
+        Address to;
+        {
+            const std::lock_guard lock(mutex);
+            to = address;
+        }
+        auto socket = co_await connectTo(executor, to, options.connectTimeout);
+        if (!socket.ok()) {
+            co_return socket.status();
+        }
+        co_return std::make_unique<TargetConnection>(*std::move(socket), openCount);
+    }
+
     GuardedTargetOptions options;
     mutable std::mutex mutex;
     Guard guard;
@@ -229,9 +258,107 @@
     std::uint32_t policySlots = 0;
     std::atomic<std::uint32_t> tellsPace = 0;
     ConnectionPool<TargetConnection> idle;
+    bool looking = false; // whether the target is being asked for its pace
+    std::vector<std::shared_ptr<asio::steady_timer>> lookers; // wait for its answer
     std::shared_ptr<std::atomic<std::size_t>> openCount = std::make_shared<std::atomic<std::size_t>>(0);
 };
 
+/// Asks the target for its pace, so that no work starts in a slow phase unseen. Several requests share one question.
+class GuardedTarget::PaceLook
+{
+public:
+    explicit PaceLook(std::shared_ptr<Impl> impl)
+        : m_impl(std::move(impl))
+    {
+    }
+
+    PaceLook(const PaceLook &) = delete;
+    PaceLook &operator=(const PaceLook &) = delete;
+
+    ~PaceLook()
+    {
+        if (!m_asks) {
+            return;
+        }
+        const std::lock_guard lock(m_impl->mutex);
+        m_impl->looking = false;
+        for (const auto &it : m_impl->lookers) {
+            asio::post(it->get_executor(), [it] { it->cancel(); });
+        }
+        m_impl->lookers.clear();
+    }
+
+    /// Returns once the pace is as fresh as it is worth asking for.
+    asio::awaitable<void> run()
+    {
+        if (!m_impl->options.pacePath) {
+            co_return;
+        }
+        const auto executor = co_await asio::this_coro::executor;
+        std::shared_ptr<asio::steady_timer> timer;
+        {
+            const std::lock_guard lock(m_impl->mutex);
+            if (m_impl->looking) {
+                timer = std::make_shared<asio::steady_timer>(executor);
+                timer->expires_after(PaceLookTimeout);
+                m_impl->lookers.push_back(timer);
+            } else {
+                m_asks = m_impl->guard.takeLook(m_impl->options.clock->now());
+                m_impl->looking = m_asks;
+            }
+        }
+        if (timer) {
+            co_await timer->async_wait(AsTuple);
+        } else if (m_asks) {
+            co_await ask(executor);
+        }
+    }
+
+private:
+    asio::awaitable<void> ask(asio::any_io_executor executor)
+    {
+        const std::string path = m_impl->options.pacePath();
+        if (path.empty()) {
+            co_return;
+        }
+        auto connection = co_await m_impl->connect(executor, true);
+        if (!connection.ok()) {
+            // The request that is about to start finds out the same and acts on it.
+            co_return;
+        }
+        TargetConnection &target = **connection;
+        std::string host;
+        {
+            const std::lock_guard lock(m_impl->mutex);
+            host = m_impl->address.text();
+        }
+        const std::string text = "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
+        const absl::Status sent = co_await target.write(text, PaceLookTimeout);
+        if (!sent.ok()) {
+            co_return;
+        }
+        const auto head = co_await target.readHeadWithin(PaceLookTimeout);
+        if (!head.ok()) {
+            co_return;
+        }
+        const AnswerCheck check = m_impl->options.checkAnswer(RequestHead{}, *head);
+        m_impl->notePace(check.pacePercent);
+        while (!target.answerDone()) {
+            const auto part = co_await target.readBody(PaceLookTimeout);
+            if (!part.ok()) {
+                co_return;
+            }
+        }
+        if (target.reusable()) {
+            target.releaseMemory();
+            m_impl->idle.put(executor, *std::move(connection), m_impl->idleBound());
+        }
+    }
+
+    std::shared_ptr<Impl> m_impl;
+    bool m_asks = false;
+};
+
 /// A slot of the guard, from the offer until the target is done. What is left running goes on being counted.
 class GuardedTarget::Slot
 {
@@ -343,8 +470,17 @@
     asio::awaitable<void> waitInQueue(GuardAnswer *answer)
     {
         while (m_waiter->result == Waiter::Result::Pending) {
-            m_waiter->timer.expires_at(asio::steady_timer::time_point::max());
+            const bool slow = slowPhase();
+            if (slow) {
+                m_waiter->timer.expires_after(PaceLookGap);
+            } else {
+                m_waiter->timer.expires_at(asio::steady_timer::time_point::max());
+            }
             co_await m_waiter->timer.async_wait(AsTuple);
+            if (slow && m_waiter->result == Waiter::Result::Pending) {
+                PaceLook look(m_impl);
+                co_await look.run();
+            }
         }
         const std::lock_guard lock(m_impl->mutex);
         const bool admitted = m_waiter->result == Waiter::Result::Admitted;
@@ -354,6 +490,12 @@
         m_waiter.reset();
     }
 
+    bool slowPhase() const
+    {
+        const std::lock_guard lock(m_impl->mutex);
+        return m_impl->guard.slowPhaseLeft(m_impl->options.clock->now()) > Duration::zero();
+    }
+
     void leaveQueue()
     {
         const std::lock_guard lock(m_impl->mutex);
@@ -463,7 +605,8 @@
         m_ticket = slot.ticket();
         m_executor = co_await asio::this_coro::executor;
         const auto executor = m_executor;
-        auto connection = co_await open(executor);
+        const bool reuses = m_head.bodyKind == BodyKind::None && m_head.repeatable;
+        auto connection = co_await m_impl.connect(executor, reuses);
         if (!connection.ok()) {
             co_return unreachable(slot, connection.status());
         }
@@ -486,27 +629,6 @@
     }
 
 private:
-    /// Takes an idle connection, or opens one if none is idle or the request may run only once.
-    asio::awaitable<absl::StatusOr<ConnectionPointer>> open(asio::any_io_executor executor)
-    {
-        const bool reuses = m_head.bodyKind == BodyKind::None && m_head.repeatable;
-        while (ConnectionPointer idle = reuses ? m_impl.idle.take(executor) : nullptr) {
-            if (!idle->stale()) {
-                co_return idle;
-            }
-        }
-        Address address;
-        {
-            const std::lock_guard lock(m_impl.mutex);
-            address = m_impl.address;
-        }
-        auto socket = co_await connectTo(executor, address, m_impl.options.connectTimeout);
-        if (!socket.ok()) {
-            co_return socket.status();
-        }
-        co_return std::make_unique<TargetConnection>(*std::move(socket), m_impl.openCount);
-    }
-
     void keep(const asio::any_io_executor &executor, ConnectionPointer connection)
     {
         const bool bodySent = m_head.bodyKind == BodyKind::None || m_bodySent;
@@ -855,6 +977,10 @@
             co_return trialRefusal(answer, load());
         }
     }
+    {
+        PaceLook look(impl);
+        co_await look.run();
+    }
     Slot slot(impl);
     const TimePoint offered = impl->options.clock->now();
     const GuardAnswer answer = co_await slot.acquire(head, deadline, alone);
--- a/src/net/guardedtarget.h
+++ b/src/net/guardedtarget.h
@@ -47,6 +47,9 @@
     std::function<AnswerCheck(const RequestHead &request, const ResponseHead &answer)> checkAnswer;
     /// Returns fields that a request to the target gets besides those of the caller.
     std::function<std::vector<HeaderField>(const RequestHead &request)> targetFields;
+    /// Returns the path at which the target tells its pace at once, empty if there is none.
+    std::function<std::string()> pacePath;
+    double looksPerSecond = 0; ///< How often the target may be asked for its pace.
     /// Called when the pace that the target tells has changed by half or more.
     std::function<void()> onPace;
     /// Called at a sign of doubt; without it, a connection that is cut off counts as a restart.
@@ -121,6 +124,7 @@
 
 private:
     struct Impl;
+    class PaceLook;
     class Slot;
     class Trial;
     class Exchange;
--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -76,6 +76,14 @@
     co_return head;
 }
 
+asio::awaitable<absl::StatusOr<ResponseHead>> TargetConnection::readHeadWithin(Duration timeout)
+{
+    m_stream.expires_after(timeout);
+    auto head = co_await readHead(false);
+    m_stream.expires_never();
+    co_return head;
+}
+
 asio::awaitable<absl::StatusOr<std::string>> TargetConnection::readBody(Duration timeout)
 {
     // The parser reads as much at once as the buffer has room for, which is little until the buffer has grown.
--- a/src/net/targetconnection.h
+++ b/src/net/targetconnection.h
@@ -36,6 +36,9 @@
     /// Reads the head of the answer; the caller bounds the time by cancelling.
     asio::awaitable<absl::StatusOr<ResponseHead>> readHead(bool answersHead);
 
+    /// Reads the head of the answer to a GET within the time.
+    asio::awaitable<absl::StatusOr<ResponseHead>> readHeadWithin(Duration timeout);
+
     /// Reads the next part of the body, empty at the end.
     asio::awaitable<absl::StatusOr<std::string>> readBody(Duration timeout);
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,7 +1,5 @@
 #include "shallotrelay/routing/router.h"
 
-#include "shallotrelay/limits/slowphase.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -32,16 +30,6 @@
 constexpr double LeastReportMemorySeconds = 0.005;
 /// Time in which a share of failures is half forgotten, in seconds.
 constexpr double FailureHalfLifeSeconds = 1.0;
-/// A VM on which work takes this many percent of the usual time is in a slow phase.
-constexpr std::uint32_t SlowPacePercent = 180;
-/// Length of slow phases that is assumed until some were seen, in seconds.
-constexpr double FirstSlowPhaseSeconds = 0.25;
-/// Longest slow phase that counts as one, in seconds; what lasts longer is a target that has turned slow.
-constexpr double LongestSlowPhaseSeconds = 1.0;
-/// Shortest one, in seconds: the average is divided by.
-constexpr double LeastSlowPhaseSeconds = 0.02;
-/// Share of one slow phase in the average length; about the last twenty count.
-constexpr double SlowPhaseWeight = 0.05;
 /// Extra time at a target in another data centre, in seconds: two ways across.
 constexpr double RemoteSeconds = 0.003;
 /// Weighs bytes between data centres, which are paid for, against the time of callers.
@@ -84,7 +72,6 @@
 
 ServiceRouter::ServiceRouter(RouterOptions options)
     : m_options(std::move(options))
-    , m_slowPhase(FirstSlowPhaseSeconds)
 {
 }
 
@@ -210,7 +197,7 @@
     if (!entry.report || entry.report->pacePercent == 0) {
         return averages.pace;
     }
-    const double trust = std::exp(-toSeconds(now - entry.reportedAt) / m_slowPhase);
+    const double trust = std::exp(-Seconds(now - entry.reportedAt) / m_slowPhase.average());
     return trust * entry.report->pacePercent / PercentScale + (1 - trust) * averages.pace;
 }
 
@@ -222,7 +209,6 @@
     const double known = cost.work > Duration::zero() ? toSeconds(cost.work) : averages.latency;
     const double usual = std::max(known, LeastWorkSeconds);
     const double pace = paceOf(entry, averages, now);
-    const double paced = timeInSlowPhase(Seconds(usual), pace, Seconds(m_slowPhase)).count();
     const double latency = entry.latency > 0 ? entry.latency : averages.latency;
     const double ahead = std::max(0.0, estimate + 1 - limit);
     const double failures = std::max(0.0, failureShareOf(entry, now) - averages.failureShare);
@@ -230,7 +216,7 @@
     const bool told = entry.report && entry.report->fullSlowdownPercent > 0;
     const double full = told ? entry.report->fullSlowdownPercent / PercentScale - 1 : FullSlowdown;
     const double crowded = std::clamp(((estimate + 1) / limit - FreelyUsed) / (1 - FreelyUsed), 0.0, 1.0);
-    double out = paced * (1 + full * crowded * crowded) + ahead * latency / limit;
+    double out = usual * pace * (1 + full * crowded * crowded) + ahead * latency / limit;
     out += failures * FailureSeconds;
     if (entry.target.dataCentre != m_options.dataCentre) {
         out += RemoteSeconds + cost.answerBytes / RemoteBytesPerSecond;
@@ -381,7 +367,7 @@
     }
 }
 
-/// Learns how long slow phases last, which tells how long a reported pace holds and what it costs.
+/// Learns how long slow phases last, which tells how long a reported pace holds.
 void ServiceRouter::noteSlowPhase(Entry &entry, const LoadReport &load, TimePoint now)
 {
     const bool slow = load.pacePercent >= SlowPacePercent;
@@ -391,12 +377,8 @@
     if (slow || !entry.slowSince) {
         return;
     }
-    // It ended at some time since the report before this one.
-    const TimePoint end = entry.reportedAt + (now - entry.reportedAt) / 2;
-    const double seconds
-        = std::clamp(toSeconds(end - *entry.slowSince), LeastSlowPhaseSeconds, LongestSlowPhaseSeconds);
+    m_slowPhase.ended(*entry.slowSince, entry.reportedAt, now);
     entry.slowSince.reset();
-    m_slowPhase += SlowPhaseWeight * (seconds - m_slowPhase);
 }
 
 void ServiceRouter::finished(const std::string &target, const RouterOutcome &outcome, TimePoint now)
--- a/tests/process/guardedtargettest.cpp
+++ b/tests/process/guardedtargettest.cpp
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <future>
 #include <mutex>
+#include <thread>
 
 namespace shallotrelay
 {
@@ -117,6 +118,63 @@
     Listener m_listener;
 };
 
+/// A target that tells its pace at "/pace" and in each answer.
+class PacedTarget
+{
+public:
+    explicit PacedTarget(Runtime &runtime)
+        : m_listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
+            asio::co_spawn(loop, serve(std::move(socket)), asio::detached);
+        })
+    {
+        REQUIRE(m_listener.start(Address{"127.0.0.1", 0}).ok());
+    }
+
+    static void tune(GuardedTargetOptions *options)
+    {
+        options->pacePath = [] { return std::string("/pace"); };
+        options->looksPerSecond = 1000;
+        options->checkAnswer = [](const RequestHead &, const ResponseHead &answer) {
+            AnswerCheck out;
+            out.pacePercent = static_cast<std::uint32_t>(std::stoi(std::string(findField(answer.headers, "Pace"))));
+            return out;
+        };
+    }
+
+    Address address() const
+    {
+        return m_listener.address();
+    }
+
+    std::atomic<int> pace = 100; // in percent
+    std::atomic<int> looks = 0;
+    std::atomic<int> runs = 0;
+    std::atomic<bool> mute = false; // whether questions for the pace stay without an answer
+
+private:
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        for (;;) {
+            std::string buf(4096, '\0');
+            const auto [ec, n] = co_await socket.async_read_some(asio::buffer(buf), AsTuple);
+            if (ec) {
+                co_return;
+            }
+            const bool look = buf.starts_with("GET /pace ");
+            ++(look ? looks : runs);
+            if (look && mute) {
+                co_await sleepForever();
+            }
+            co_await sleepFor(2ms);
+            const std::string answer
+                = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nPace: " + std::to_string(pace) + "\r\n\r\nok";
+            co_await asio::async_write(socket, asio::buffer(answer), AsTuple);
+        }
+    }
+
+    Listener m_listener;
+};
+
 class EmptyBody : public BodySource
 {
 public:
@@ -166,6 +224,9 @@
         runtime.start();
         GuardedTargetOptions options;
         options.clock = &clock;
+        if constexpr (requires { Target::tune(&options); }) {
+            Target::tune(&options);
+        }
         guarded = std::make_shared<GuardedTarget>(options);
         GuardPolicy policy;
         policy.served = true;
@@ -189,21 +250,23 @@
         return send(5s).get();
     }
 
-    std::future<ExchangeResult> send(Duration timeLeft)
+    std::future<ExchangeResult> send(Duration timeLeft, bool lastOffer = false)
     {
-        auto one = [](std::shared_ptr<GuardedTarget> to, TimePoint deadline) -> asio::awaitable<ExchangeResult> {
+        auto one
+            = [](std::shared_ptr<GuardedTarget> to, TimePoint deadline, bool last) -> asio::awaitable<ExchangeResult> {
             RequestHead head;
             head.requestId = "r";
             head.method = "GET";
             head.path = "/";
             head.repeatable = true;
             head.mayQueue = true;
+            head.lastOffer = last;
             EmptyBody body;
             DroppingSink sink;
             ExchangeProgress progress;
             co_return co_await to->run(head, body, sink, progress, deadline);
         };
-        return asio::co_spawn(runtime.shard(0), one(guarded, clock.now() + timeLeft), asio::use_future);
+        return asio::co_spawn(runtime.shard(0), one(guarded, clock.now() + timeLeft, lastOffer), asio::use_future);
     }
 
     SystemClock clock;
@@ -253,4 +316,50 @@
     CHECK(told[1] <= 800);
 }
 
+TEST_CASE("A request that may go elsewhere is refused in a slow phase and reaches no target; the last offer waits")
+{
+    Guarded<PacedTarget> paced(4);
+    REQUIRE(paced.get().whole);
+    paced.target.pace = 500;
+    std::this_thread::sleep_for(20ms);
+    const ExchangeResult elsewhere = paced.get();
+    CHECK_FALSE(elsewhere.whole);
+    CHECK(elsewhere.execution == Execution::NotRun);
+    CHECK(elsewhere.reason == toString(GuardRefusal::SlowPhase));
+    CHECK(paced.target.runs == 1);
+    auto last = paced.send(5s, true);
+    std::this_thread::sleep_for(100ms);
+    CHECK(paced.target.runs == 1);
+    paced.target.pace = 100;
+    CHECK(last.get().whole);
+    CHECK(paced.target.runs == 2);
+}
+
+TEST_CASE("Requests that come together share one question for the pace")
+{
+    Guarded<PacedTarget> paced(10);
+    REQUIRE(paced.get().whole);
+    std::this_thread::sleep_for(20ms);
+    const int before = paced.target.looks;
+    std::vector<std::future<ExchangeResult>> all;
+    for (int i = 0; i < 10; ++i) {
+        all.push_back(paced.send(5s));
+    }
+    for (auto &it : all) {
+        CHECK(it.get().whole);
+    }
+    CHECK(paced.target.looks == before + 1);
+}
+
+TEST_CASE("A target that does not tell its pace delays a request by a moment only")
+{
+    Guarded<PacedTarget> paced(4);
+    REQUIRE(paced.get().whole);
+    paced.target.mute = true;
+    std::this_thread::sleep_for(20ms);
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(paced.get().whole);
+    CHECK(std::chrono::steady_clock::now() - begun < 500ms);
+}
+
 }
--- a/tests/unit/placingtest.cpp
+++ b/tests/unit/placingtest.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <queue>
+#include <set>
 
 namespace shallotrelay
 {
@@ -179,15 +180,20 @@
     CHECK(placing.remote * 2 < placing.requests);
 }
 
-TEST_CASE("The length of slow phases is learnt: a slow VM is worth using where they are short, not where they are long")
+TEST_CASE("The length of slow phases is learnt: a pace that was told a while ago counts where they are long")
 {
-    const auto choiceAfterPhases = [](Duration length) {
+    const auto choiceAfterPhases = [](Duration length, Duration age) {
         RouterOptions options;
         options.strategy = RoutingStrategy::EarliestFinish;
         ServiceRouter router(options);
-        router.setTargets({{"slow", "", Slots, TargetState::Ready, true, "boot"},
-                           {"busy", "", Slots, TargetState::Ready, true, "boot"}},
-                          at(0s));
+        std::vector<RouterTarget> targets = {{"slow", "", Slots, TargetState::Ready, true, "boot"},
+                                             {"busy", "", Slots, TargetState::Ready, true, "boot"}};
+        std::set<std::string> others;
+        for (int i = 0; i < 8; ++i) {
+            others.insert("t" + std::to_string(i));
+            targets.push_back({"t" + std::to_string(i), "", Slots, TargetState::Ready, true, "boot"});
+        }
+        router.setTargets(targets, at(0s));
         LoadReport slow;
         slow.limit = Slots;
         slow.pacePercent = SlowPace;
@@ -202,13 +208,19 @@
         }
         LoadReport busy = usual;
         busy.inFlight = Slots - 1;
-        router.reported("slow", slow, now);
+        router.reported("slow", slow, now - age);
         router.reported("busy", busy, now);
+        for (const std::string &it : others) {
+            router.reported(it, usual, now);
+        }
         Random random(1);
-        return router.choose({}, now, random, {300ms})->target;
+        return router.choose(others, now, random, {300ms})->target;
     };
-    CHECK(choiceAfterPhases(100ms) == "slow");
-    CHECK(choiceAfterPhases(900ms) == "busy");
+    CHECK(choiceAfterPhases(50ms, 120ms) == "slow");
+    CHECK(choiceAfterPhases(900ms, 120ms) == "busy");
+    // Just told, it counts in any case: work that starts in a slow phase takes as many times longer to its end.
+    CHECK(choiceAfterPhases(50ms, 0ms) == "busy");
+    CHECK(choiceAfterPhases(900ms, 0ms) == "busy");
 }
 
 }
