Each node prefers ten targets of a service and is told their load; full targets are left before they are waited at

Now: rendezvous hashing picks 6 targets in the own data centre and 4 elsewhere; a node asks their nodes for beacons each 2 s while it calls the service; a beacon goes out each 25 ms x nodes that asked at most (40 datagrams a second at any size); a request waits only at its last offer or where all are thought full; beyond a full subset all targets are asked. Targets that are not preferred are not silent; a beacon promises when the next one comes.

--- a/include/shallotrelay/routing/router.h
+++ b/include/shallotrelay/routing/router.h
@@ -19,6 +19,7 @@
 #include "shallotrelay/base/random.h"
 #include "shallotrelay/limits/slowphase.h"
 #include "shallotrelay/messages.h"
+#include "shallotrelay/routing/subset.h"
 
 #include <cstdint>
 #include <map>
@@ -43,6 +44,8 @@
     std::string dataCentre; ///< Data centre of the node.
     RoutingStrategy strategy = RoutingStrategy::WeightedFree; ///< How targets are chosen.
     double remoteWeight = 0.7; ///< Factor on the weight of targets in other data centres.
+    std::string node{}; ///< Name of the node; with one, it prefers a part of the targets.
+    SubsetSize subset{}; ///< How many targets it prefers.
     bool useFailures = true; ///< Whether recent failures lower a weight.
     bool useLatency = true; ///< Whether recent latency lowers a weight.
 };
@@ -107,12 +110,18 @@
     /// Takes in a load report of the target's guard.
     void reported(const std::string &target, const LoadReport &load, TimePoint now);
 
+    /// Notes within which time the target's guard has promised the next report; several missing ones make it silent.
+    void promised(const std::string &target, Duration next);
+
     /// Notes how a try ended.
     void finished(const std::string &target, const RouterOutcome &outcome, TimePoint now);
 
     /// Returns the pace of a target, in percent, that was reported after a point in time; 0 if none was.
     std::uint32_t paceSince(const std::string &target, TimePoint since) const;
 
+    /// Returns the targets that are preferred, whose load the node wants to be told.
+    std::vector<std::string> preferred() const;
+
     /// Returns how many targets may take work.
     std::size_t usableTargets() const;
 
@@ -122,8 +131,10 @@
 private:
     struct Entry {
         RouterTarget target;
+        bool preferred = true;
         std::optional<LoadReport> report;
         TimePoint reportedAt;
+        Duration nextReport{}; // promised, zero if none was
         std::uint32_t outstanding = 0;
         std::uint32_t startedSinceReport = 0;
         double failureShare = 0;
@@ -143,6 +154,10 @@
         double estimate = 0;
     };
 
+    std::vector<Candidate> candidates(const std::set<std::string> &excluded, bool preferredOnly, TimePoint now,
+                                      const RequestCost &cost) const;
+    void notePreferred();
+    bool isSilent(const Entry &entry, TimePoint now) const;
     bool mayTakeWork(const Entry &entry) const;
     std::uint32_t limitOf(const Entry &entry) const;
     Averages averages(TimePoint now) const;
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -30,8 +30,16 @@
 constexpr Duration GuardTick = std::chrono::milliseconds(20);
 /// Longest time between two beacons; a silence of a few of them shows that a node is gone.
 constexpr Duration BeaconHeartbeat = std::chrono::milliseconds(250);
-/// Shortest time between two beacons, for each node that gets them; bounds what beacons cost in a large cluster.
-constexpr Duration BeaconGapPerPeer = std::chrono::milliseconds(4);
+/// Shortest time between two beacons, for each node that gets them; bounds what beacons cost.
+constexpr Duration BeaconGapPerPeer = std::chrono::milliseconds(25);
+/// Time between two wishes to be told a target's load; three of them may be lost before it is told no more.
+constexpr Duration InterestInterval = std::chrono::milliseconds(2000);
+/// Time for which a wish holds.
+constexpr Duration InterestMemory = 3 * InterestInterval + std::chrono::milliseconds(500);
+/// A node that has not called a service for this long wants to know nothing of its targets.
+constexpr Duration CallMemory = std::chrono::seconds(10);
+/// Nodes that are told the load of one target; wishes beyond that are not taken.
+constexpr std::size_t MaxInterested = 512;
 constexpr Duration LinkCheckInterval = std::chrono::milliseconds(200);
 /// Time between reports to a control VM.
 constexpr Duration ReportInterval = std::chrono::milliseconds(1000);
@@ -99,6 +107,7 @@
 {
     RouterOptions out;
     out.dataCentre = options.dataCentre;
+    out.node = options.name;
     out.strategy = RoutingStrategy::EarliestFinish;
     return out;
 }
@@ -150,6 +159,7 @@
               },
               [this] { return containment.state(); })
         , beacons(runtime.shard(0), {[this](const LoadBeacon &beacon) { takeBeacon(beacon); },
+                                     [this](const LoadInterest &interest) { takeInterest(interest); },
                                      [this](const CrashNotice &notice) { containment.take(notice); },
                                      [this](const CleanRunNotice &notice) { containment.take(notice); }})
         , metricsServer(runtime, MaxMetricsBytes, [this](HttpRequest request) { return serve(std::move(request)); })
@@ -190,7 +200,9 @@
     LoadReport told;
     TimePoint toldAt;
     std::shared_ptr<const std::vector<std::string>> peerList; // the list that the addresses were made from
-    std::vector<Address> beaconAddresses; // of all other nodes
+    std::vector<Address> peerAddresses; // of all other nodes
+    std::map<std::string, std::pair<Address, TimePoint>> interested; // who is told the load, and until when
+    std::map<ServiceId, std::map<std::string, TimePoint>> wishes; // when a target's node was last asked, by target
     std::map<std::string, AttemptAge> attemptAges; // by route
     TimePoint started;
     TimePoint intentApplied; // when the operators' state last changed here
@@ -209,7 +221,6 @@
         out.peers = peerOptions();
         out.node = options.name;
         out.holdBodyBytes = HoldBodyBytes;
-        out.alwaysQueues = true;
         out.hedges = true;
         out.holdAnswerBytes = HoldAnswerBytes;
         out.doubts = [this](const RequestHead &head) { return containment.doubts(head); };
@@ -240,7 +251,7 @@
         out.onDoubt = [this](TargetDoubt doubt) { takeDoubt(doubt); };
         out.pacePath = [this] { return healthPath(); };
         out.looksPerSecond = options.probesPerSecond * PaceLookShare;
-        out.onPace = [this] { tellLoad(true); };
+        out.onPace = [this] { tellLoad(false); };
         out.doubts = [this](const RequestHead &head) { return containment.doubts(head); };
         out.standing = [this](const RequestPrint &print) { return containment.standing(print); };
         out.onCrash = [this](const Crash &crash) { containment.crashed(crash); };
@@ -387,6 +398,7 @@
     {
         for (;;) {
             updateLinks();
+            tellInterest();
             co_await sleepFor(LinkCheckInterval);
         }
     }
@@ -590,7 +602,8 @@
             return;
         }
         seen = current;
-        services.noteLoad({ClusterFirm, beacon.service}, beacon.target, beacon.load);
+        services.noteBeacon({ClusterFirm, beacon.service}, beacon.target, beacon.load,
+                            std::chrono::milliseconds(beacon.nextMs));
         if (beacon.crashDigest != containment.digest() && clock.now() >= nextLedgerFetch) {
             nextLedgerFetch = clock.now() + ledgerFetchGap;
             if (const auto address = peerOf({ClusterFirm, beacon.service}, beacon.target)) {
@@ -641,12 +654,12 @@
         std::size_t fetched = 0;
         while (fetched < FirstLedgerFetches && self->clock.now() - self->started < StartPatience) {
             self->notePeers(self->services.peers());
-            if (self->beaconAddresses.empty()) {
+            if (self->peerAddresses.empty()) {
                 co_await sleepFor(GuardTick);
                 continue;
             }
-            const std::size_t drawn = randomBelow(self->random, self->beaconAddresses.size());
-            const Address from = self->beaconAddresses[drawn];
+            const std::size_t drawn = randomBelow(self->random, self->peerAddresses.size());
+            const Address from = self->peerAddresses[drawn];
             const bool answered = co_await fetchLedger(self, from);
             self->ledgerKnown = self->ledgerKnown || answered;
             ++fetched;
@@ -663,7 +676,7 @@
         }
         notePeers(services.peers());
         std::vector<Address> chosen;
-        std::sample(beaconAddresses.begin(), beaconAddresses.end(), std::back_inserter(chosen), NoticeFanOut, random);
+        std::sample(peerAddresses.begin(), peerAddresses.end(), std::back_inserter(chosen), NoticeFanOut, random);
         for (const Address &it : chosen) {
             beacons.send(encoded, it);
         }
@@ -691,7 +704,7 @@
         }
     }
 
-    /// Tells the other nodes the load of the target when it changed, and now and then when it did not.
+    /// Tells the nodes that asked for it the load of the target when it changed, and now and then when it did not.
     void tellLoad(bool atOnce)
     {
         const auto guarded = guardedTarget();
@@ -700,21 +713,71 @@
         }
         const TimePoint now = clock.now();
         const LoadReport load = guarded->load();
-        notePeers(services.peers());
-        const Duration gap = BeaconGapPerPeer * static_cast<int>(peerList->size());
+        std::erase_if(interested, [&](const auto &it) { return it.second.second <= now; });
+        const Duration gap = BeaconGapPerPeer * static_cast<int>(interested.size());
+        const Duration longest = std::max(gap, BeaconHeartbeat);
         const bool changed = differs(load, told) && now - toldAt >= gap;
-        if (!atOnce && !changed && now - toldAt < std::max(gap, BeaconHeartbeat)) {
+        if (!atOnce && !changed && now - toldAt < longest) {
             return;
         }
         told = load;
         toldAt = now;
         const auto &target = presence.current();
         services.noteLoad({ClusterFirm, target->said.service}, target->said.id, load);
-        const LoadBeacon beacon{target->said.service, target->said.id,      ++beaconSequence,
-                                incarnation,          containment.digest(), load};
+        const LoadBeacon beacon{target->said.service,
+                                target->said.id,
+                                ++beaconSequence,
+                                incarnation,
+                                containment.digest(),
+                                toWholeMilliseconds(longest),
+                                load};
         const std::string encoded = encodeFrame(beacon);
-        for (const Address &it : beaconAddresses) {
-            beacons.send(encoded, it);
+        for (const auto &it : interested) {
+            beacons.send(encoded, it.second.first);
+        }
+    }
+
+    void takeInterest(const LoadInterest &interest)
+    {
+        const auto address = parseAddress(interest.address);
+        const bool known = interested.contains(interest.address);
+        if (!address.ok() || (!known && interested.size() >= MaxInterested)) {
+            log.write(LogLevel::Info, "interest-refused", LogFields().add("address", interest.address));
+            return;
+        }
+        interested[interest.address] = {*address, clock.now() + InterestMemory};
+        if (!known) {
+            tellLoad(true);
+        }
+    }
+
+    /// Asks the nodes beside preferred targets of the services that are called here to tell their load.
+    void tellInterest()
+    {
+        const TimePoint now = clock.now();
+        const std::string self = options.peerListen.text();
+        const std::string encoded = encodeFrame(LoadInterest{self});
+        for (const auto &shard : services.all()) {
+            std::map<std::string, TimePoint> &told = wishes[shard->id];
+            std::map<std::string, TimePoint> kept;
+            const std::lock_guard lock(shard->mutex);
+            if (shard->calledAt == TimePoint{} || now - shard->calledAt > CallMemory) {
+                wishes.erase(shard->id);
+                continue;
+            }
+            for (const std::string &it : shard->router.preferred()) {
+                const auto record = shard->records.find(it);
+                const auto before = told.find(it);
+                const bool due = before == told.end() || now - before->second >= InterestInterval;
+                kept[it] = due ? now : before->second;
+                if (!due || record == shard->records.end() || record->second.peerAddress == self) {
+                    continue;
+                }
+                if (const auto address = parseAddress(record->second.peerAddress); address.ok()) {
+                    beacons.send(encoded, *address);
+                }
+            }
+            told = std::move(kept);
         }
     }
 
@@ -725,7 +788,7 @@
             return;
         }
         peerList = list;
-        beaconAddresses.clear();
+        peerAddresses.clear();
         const std::string self = options.peerListen.text();
         for (const std::string &it : *list) {
             const auto address = parseAddress(it);
@@ -733,7 +796,7 @@
                 log.write(LogLevel::Warn, "peer",
                           LogFields().add("peer", it).add("error", std::string(address.status().message())));
             } else if (it != self) {
-                beaconAddresses.push_back(*address);
+                peerAddresses.push_back(*address);
             }
         }
     }
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -393,6 +393,7 @@
     std::optional<PlannedTry> plan()
     {
         const std::lock_guard lock(m_shard->mutex);
+        m_shard->calledAt = now();
         const auto planned = m_plan.next(m_shard->router, m_shard->budget, m_shard->random, now());
         if (planned) {
             m_record = m_shard->records.at(planned->choice.target);
--- a/src/daemon/servicetable.cpp
+++ b/src/daemon/servicetable.cpp
@@ -72,6 +72,17 @@
     }
 }
 
+void ServiceTable::noteBeacon(const ServiceId &service, const std::string &target, const LoadReport &load,
+                              Duration next)
+{
+    const auto shard = find(service);
+    if (shard) {
+        const std::lock_guard lock(shard->mutex);
+        shard->router.reported(target, load, m_clock.now());
+        shard->router.promised(target, next);
+    }
+}
+
 void ServiceTable::applyDirectory(const std::string &source, const DirectoryUpdate &update)
 {
     const std::unique_lock lock(m_mutex);
--- a/src/daemon/servicetable.h
+++ b/src/daemon/servicetable.h
@@ -37,6 +37,7 @@
     ServiceRouter router; ///< Chooses targets.
     RetryBudget budget; ///< Bounds retries.
     Random random; ///< What the router draws from.
+    TimePoint calledAt{}; ///< When a request for the service last began at this node.
     std::map<std::string, TargetRecord> records; ///< The announced targets by name.
     std::map<std::string, HedgeTimer> timers; ///< How long requests take, by route.
     std::map<std::string, double> answerBytes; ///< Average bytes of an answer, by route.
@@ -69,6 +70,9 @@
     /// Takes in a load report of a target's guard.
     void noteLoad(const ServiceId &service, const std::string &target, const LoadReport &load);
 
+    /// Takes in a load report that its guard sent of itself, with the time until the next one at the latest.
+    void noteBeacon(const ServiceId &service, const std::string &target, const LoadReport &load, Duration next);
+
     /// Takes in a directory update of a control VM.
     void applyDirectory(const std::string &source, const DirectoryUpdate &update);
 
--- a/src/net/beaconsocket.cpp
+++ b/src/net/beaconsocket.cpp
@@ -61,6 +61,8 @@
         const std::string_view payload = datagram.substr(FrameHeaderBytes);
         if (header->type == LoadBeacon::FrameType) {
             pass(payload, hooks.onLoad);
+        } else if (header->type == LoadInterest::FrameType) {
+            pass(payload, hooks.onInterest);
         } else if (header->type == CrashNotice::FrameType) {
             pass(payload, hooks.onCrash);
         } else if (header->type == CleanRunNotice::FrameType) {
--- a/src/net/beaconsocket.h
+++ b/src/net/beaconsocket.h
@@ -20,6 +20,7 @@
     /// Called for each datagram that arrives.
     struct Hooks {
         std::function<void(const LoadBeacon &beacon)> onLoad; ///< The load of a target.
+        std::function<void(const LoadInterest &interest)> onInterest; ///< A node asks to be told the load.
         std::function<void(const CrashNotice &notice)> onCrash; ///< A target crashed.
         std::function<void(const CleanRunNotice &notice)> onCleanRun; ///< A request ran to its end.
     };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -51,6 +51,8 @@
 constexpr double LeastWorkSeconds = 0.005;
 /// A target whose guard has been silent for this long is avoided.
 constexpr Duration SilenceBound = std::chrono::milliseconds(1000);
+/// Promised reports that may be lost before a guard counts as silent.
+constexpr int MissedReports = 3;
 /// Extra time at such a target, in seconds.
 constexpr double SilenceSeconds = 1.0;
 /// Reports older than this say nothing about failures or latency.
@@ -98,6 +100,45 @@
         entries[it.name] = entry;
     }
     m_entries = std::move(entries);
+    notePreferred();
+}
+
+/// Prefers a part of the targets that may take work.
+void ServiceRouter::notePreferred()
+{
+    if (m_options.node.empty()) {
+        return;
+    }
+    std::vector<SubsetTarget> usable;
+    for (const auto &it : m_entries) {
+        const RouterTarget &target = it.second.target;
+        if (target.inService && target.state != TargetState::Leaving) {
+            usable.push_back({target.name, target.dataCentre});
+        }
+    }
+    const std::set<std::string> names
+        = preferredTargets(m_options.node, m_options.dataCentre, usable, m_options.subset);
+    for (auto &it : m_entries) {
+        it.second.preferred = names.contains(it.first);
+    }
+}
+
+std::vector<std::string> ServiceRouter::preferred() const
+{
+    std::vector<std::string> out;
+    for (const auto &it : m_entries) {
+        if (it.second.preferred) {
+            out.push_back(it.first);
+        }
+    }
+    return out;
+}
+
+/// Returns whether the guard should have told its load but has not for a while.
+bool ServiceRouter::isSilent(const Entry &entry, TimePoint now) const
+{
+    return entry.preferred && entry.report
+           && now - entry.reportedAt > std::max(SilenceBound, MissedReports * entry.nextReport);
 }
 
 bool ServiceRouter::mayTakeWork(const Entry &entry) const
@@ -124,7 +165,7 @@
     double paced = 0;
     for (const auto &it : m_entries) {
         const Entry &entry = it.second;
-        if (!mayTakeWork(entry)) {
+        if (!entry.preferred || !mayTakeWork(entry)) {
             continue;
         }
         failures.push_back(failureShareOf(entry, now));
@@ -150,7 +191,8 @@
 double ServiceRouter::estimateInFlight(const Entry &entry, const Averages &averages, TimePoint now) const
 {
     if (!entry.report) {
-        return entry.outstanding;
+        const double usual = entry.preferred ? 0 : averages.utilisation * limitOf(entry);
+        return std::max<double>(usual, entry.outstanding);
     }
     const double memory = std::max(LeastReportMemorySeconds, entry.latency);
     const double trust = std::exp(-toSeconds(now - entry.reportedAt) / memory);
@@ -212,7 +254,6 @@
     const double latency = entry.latency > 0 ? entry.latency : averages.latency;
     const double ahead = std::max(0.0, estimate + 1 - limit);
     const double failures = std::max(0.0, failureShareOf(entry, now) - averages.failureShare);
-    const bool silent = entry.report && now - entry.reportedAt > SilenceBound;
     const bool told = entry.report && entry.report->fullSlowdownPercent > 0;
     const double full = told ? entry.report->fullSlowdownPercent / PercentScale - 1 : FullSlowdown;
     const double crowded = std::clamp(((estimate + 1) / limit - FreelyUsed) / (1 - FreelyUsed), 0.0, 1.0);
@@ -221,29 +262,45 @@
     if (entry.target.dataCentre != m_options.dataCentre) {
         out += RemoteSeconds + cost.answerBytes / RemoteBytesPerSecond;
     }
-    out += silent || limitOf(entry) == 0 ? SilenceSeconds : 0;
+    out += isSilent(entry, now) || limitOf(entry) == 0 ? SilenceSeconds : 0;
     return out;
 }
 
 std::optional<RouterChoice> ServiceRouter::choose(const std::set<std::string> &excluded, TimePoint now, Random &random,
                                                   const RequestCost &cost) const
+{
+    const auto hasRoom = [&](const Candidate &it) { return it.estimate + 1 <= limitOf(*it.entry); };
+    std::vector<Candidate> found = candidates(excluded, true, now, cost);
+    if (std::none_of(found.begin(), found.end(), hasRoom)) {
+        // A node whose preferred targets are full or gone asks beyond them before a request is refused.
+        found = candidates(excluded, false, now, cost);
+    }
+    if (found.empty()) {
+        return std::nullopt;
+    }
+    const auto usable = [&](const auto &it) { return mayTakeWork(it.second) && !excluded.contains(it.first); };
+    const auto all = std::count_if(m_entries.begin(), m_entries.end(), usable);
+    return toChoice(draw(found, random), static_cast<std::size_t>(all), now);
+}
+
+std::vector<ServiceRouter::Candidate> ServiceRouter::candidates(const std::set<std::string> &excluded,
+                                                                bool preferredOnly, TimePoint now,
+                                                                const RequestCost &cost) const
 {
     const Averages all = averages(now);
-    std::vector<Candidate> candidates;
+    std::vector<Candidate> out;
     for (const auto &it : m_entries) {
-        if (!mayTakeWork(it.second) || excluded.contains(it.first)) {
+        const Entry &entry = it.second;
+        if ((preferredOnly && !entry.preferred) || !mayTakeWork(entry) || excluded.contains(it.first)) {
             continue;
         }
-        const double estimate = estimateInFlight(it.second, all, now);
+        const double estimate = estimateInFlight(entry, all, now);
         const bool earliest = m_options.strategy == RoutingStrategy::EarliestFinish;
         const double weight
-            = earliest ? -finishTime(it.second, estimate, all, cost, now) : weightOf(it.second, estimate, all, now);
-        candidates.push_back({&it.second, weight, estimate});
+            = earliest ? -finishTime(entry, estimate, all, cost, now) : weightOf(entry, estimate, all, now);
+        out.push_back({&entry, weight, estimate});
     }
-    if (candidates.empty()) {
-        return std::nullopt;
-    }
-    return toChoice(draw(candidates, random), candidates.size(), now);
+    return out;
 }
 
 std::optional<RouterChoice> ServiceRouter::chooseForTrial(std::uint64_t print, const std::set<std::string> &excluded,
@@ -251,7 +308,7 @@
 {
     // Rendezvous hashing: each target has a rank of its own for each print, so the order does not depend on the others.
     const auto rankOf = [&](const Entry &entry) {
-        const bool silent = !entry.report || now - entry.reportedAt > SilenceBound;
+        const bool silent = isSilent(entry, now) || (entry.preferred && !entry.report);
         const std::string key = entry.target.name + std::to_string(print);
         return std::pair(!silent && limitOf(entry) > 0, std::hash<std::string>{}(key));
     };
@@ -367,6 +424,14 @@
     }
 }
 
+void ServiceRouter::promised(const std::string &target, Duration next)
+{
+    const auto it = m_entries.find(target);
+    if (it != m_entries.end()) {
+        it->second.nextReport = next;
+    }
+}
+
 /// Learns how long slow phases last, which tells how long a reported pace holds.
 void ServiceRouter::noteSlowPhase(Entry &entry, const LoadReport &load, TimePoint now)
 {
--- /dev/null
+++ b/tests/unit/subsettest.cpp
@@ -0,0 +1,235 @@
+#include "support.h"
+
+#include "shallotrelay/retry/retry.h"
+#include "shallotrelay/routing/router.h"
+#include "shallotrelay/routing/subset.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace shallotrelay
+{
+namespace
+{
+
+constexpr std::size_t DataCentres = 5;
+
+std::string dataCentreOf(std::size_t index)
+{
+    return "dc" + std::to_string(index % DataCentres);
+}
+
+std::vector<SubsetTarget> targetsOf(std::size_t n)
+{
+    std::vector<SubsetTarget> out;
+    for (std::size_t i = 0; i < n; ++i) {
+        out.push_back({"t" + std::to_string(i), dataCentreOf(i)});
+    }
+    return out;
+}
+
+/// Returns by how many nodes each target is preferred.
+std::map<std::string, int> preferences(std::size_t nodes, const std::vector<SubsetTarget> &targets)
+{
+    std::map<std::string, int> out;
+    for (const SubsetTarget &it : targets) {
+        out[it.name] = 0;
+    }
+    for (std::size_t i = 0; i < nodes; ++i) {
+        for (const std::string &it : preferredTargets("n" + std::to_string(i), dataCentreOf(i), targets, {})) {
+            ++out[it];
+        }
+    }
+    return out;
+}
+
+}
+
+TEST_CASE("The nodes that a target tells its load do not grow in number with the deployment")
+{
+    // Nodes and targets in the proportion of a service that half of the nodes serve; 3,400 is twice the final size.
+    for (const std::size_t nodes : {100, 300, 1700, 3400}) {
+        const auto all = preferences(nodes, targetsOf(nodes / 2));
+        const auto byCount = [](const auto &a, const auto &b) { return a.second < b.second; };
+        const int most = std::max_element(all.begin(), all.end(), byCount)->second;
+        const int least = std::min_element(all.begin(), all.end(), byCount)->second;
+        CAPTURE(nodes, least, most);
+        // 20 on average at any size.
+        CHECK(most <= 44);
+        CHECK(least >= 4);
+    }
+}
+
+TEST_CASE("Each node prefers its own data centre and knows some targets elsewhere")
+{
+    const auto targets = targetsOf(110);
+    for (std::size_t i = 0; i < 200; ++i) {
+        const auto mine = preferredTargets("n" + std::to_string(i), dataCentreOf(i), targets, {});
+        const auto near = std::count_if(mine.begin(), mine.end(), [&](const std::string &it) {
+            return dataCentreOf(std::stoul(it.substr(1))) == dataCentreOf(i);
+        });
+        CHECK(mine.size() == 10);
+        CHECK(near == 6);
+    }
+}
+
+TEST_CASE("A lost target moves one preference of the nodes that had it, and none of the others")
+{
+    const auto before = targetsOf(110);
+    auto after = before;
+    after.erase(after.begin() + 42);
+    for (std::size_t i = 0; i < 200; ++i) {
+        const std::string node = "n" + std::to_string(i);
+        const auto old = preferredTargets(node, dataCentreOf(i), before, {});
+        const auto now = preferredTargets(node, dataCentreOf(i), after, {});
+        std::vector<std::string> gained;
+        std::set_difference(now.begin(), now.end(), old.begin(), old.end(), std::back_inserter(gained));
+        CHECK(gained.size() <= (old.contains("t42") ? 1 : 0));
+        CHECK(now.size() == old.size());
+    }
+}
+
+TEST_CASE("With its whole data centre lost a node prefers as many targets elsewhere")
+{
+    auto targets = targetsOf(110);
+    std::erase_if(targets, [](const SubsetTarget &it) { return it.dataCentre == "dc0"; });
+    CHECK(preferredTargets("n0", "dc0", targets, {}).size() == 10);
+}
+
+TEST_CASE("Of few targets all are preferred")
+{
+    CHECK(preferredTargets("n0", "dc0", targetsOf(10), {}).size() == 10);
+    CHECK(preferredTargets("n0", "dc0", targetsOf(3), {}).size() == 3);
+}
+
+TEST_CASE("A node whose preferred targets are full asks beyond them")
+{
+    RouterOptions options;
+    options.dataCentre = "dc0";
+    options.node = "n0";
+    options.strategy = RoutingStrategy::EarliestFinish;
+    ServiceRouter router(options);
+    std::vector<RouterTarget> targets;
+    for (const SubsetTarget &it : targetsOf(60)) {
+        targets.push_back({it.name, it.dataCentre, 9, TargetState::Ready, true, "boot"});
+    }
+    router.setTargets(targets, at(0s));
+    const auto preferred = router.preferred();
+    REQUIRE(preferred.size() == 10);
+    LoadReport load;
+    load.limit = 9;
+    load.state = TargetState::Ready;
+    load.latencyUs = 100000;
+    for (const std::string &it : preferred) {
+        router.reported(it, load, at(1s));
+    }
+    Random random(1);
+    const auto isPreferred = [&](const std::string &name) {
+        return std::find(preferred.begin(), preferred.end(), name) != preferred.end();
+    };
+    for (int i = 0; i < 50; ++i) {
+        const auto choice = router.choose({}, at(1s), random, {100ms});
+        CHECK(isPreferred(choice->target));
+        CHECK(choice->candidates == 60);
+    }
+    load.inFlight = 9;
+    load.queued = 9;
+    for (const std::string &it : preferred) {
+        router.reported(it, load, at(2s));
+    }
+    int beyond = 0;
+    for (int i = 0; i < 50; ++i) {
+        beyond += isPreferred(router.choose({}, at(2s), random, {100ms})->target) ? 0 : 1;
+    }
+    CHECK(beyond > 25);
+}
+
+TEST_CASE("Replay: two hundred nodes that know a part of the targets load all of them evenly in a burst")
+{
+    // 110 targets of 9 slots at two thirds of their room; each node is told the load of its targets each second, and
+    // with each answer and each refusal.
+    constexpr std::size_t Nodes = 200;
+    constexpr std::size_t Targets = 110;
+    constexpr std::uint32_t Slots = 9;
+    std::vector<RouterTarget> targets;
+    for (const SubsetTarget &it : targetsOf(Targets)) {
+        targets.push_back({it.name, it.dataCentre, Slots, TargetState::Ready, true, "boot"});
+    }
+    std::vector<ServiceRouter> routers;
+    std::vector<std::vector<std::size_t>> told(Targets);
+    for (std::size_t i = 0; i < Nodes; ++i) {
+        RouterOptions options;
+        options.dataCentre = dataCentreOf(i);
+        options.node = "n" + std::to_string(i);
+        options.strategy = RoutingStrategy::EarliestFinish;
+        routers.emplace_back(options);
+        routers.back().setTargets(targets, at(0s));
+        for (const std::string &it : routers.back().preferred()) {
+            told[std::stoul(it.substr(1))].push_back(i);
+        }
+    }
+    Random random(11);
+    std::vector<std::uint32_t> running(Targets);
+    std::multimap<TimePoint, std::pair<std::size_t, std::size_t>> ends; // target and node
+    const auto loadOf = [&](std::size_t target) {
+        LoadReport out;
+        out.inFlight = std::min(running[target], Slots);
+        out.queued = running[target] - out.inFlight;
+        out.limit = Slots;
+        out.state = TargetState::Ready;
+        out.latencyUs = 260000;
+        out.pacePercent = 100;
+        return out;
+    };
+    int requests = 0;
+    int offers = 0;
+    int queued = 0;
+    TimePoint nextReport = at(0s);
+    // 660 of 990 slots, each for 260 ms.
+    constexpr Duration Gap = std::chrono::microseconds(394);
+    for (TimePoint now = at(0s); now < at(8s); now += Gap) {
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const auto [target, node] = ends.begin()->second;
+            ends.erase(ends.begin());
+            --running[target];
+            routers[node].reported("t" + std::to_string(target), loadOf(target), now);
+            routers[node].finished("t" + std::to_string(target), {true, false, 260ms}, now);
+        }
+        if (now >= nextReport) {
+            nextReport = now + 1s;
+            for (std::size_t i = 0; i < Targets; ++i) {
+                for (const std::size_t node : told[i]) {
+                    routers[node].reported("t" + std::to_string(i), loadOf(i), now);
+                }
+            }
+        }
+        const std::size_t node = randomBelow(random, Nodes);
+        ++requests;
+        std::set<std::string> excluded;
+        std::size_t target = 0;
+        for (std::uint32_t offer = 1;; ++offer) {
+            const auto choice = routers[node].choose(excluded, now, random, {260ms, 400});
+            target = std::stoul(choice->target.substr(1));
+            routers[node].started(choice->target, now);
+            ++offers;
+            if (running[target] < Slots || offer == MaxOffers) {
+                break;
+            }
+            routers[node].reported(choice->target, loadOf(target), now);
+            routers[node].finished(choice->target, {}, now);
+            excluded.insert(choice->target);
+        }
+        queued += running[target] >= Slots ? 1 : 0;
+        ++running[target];
+        ends.emplace(now + 260ms, std::pair(target, node));
+    }
+    CAPTURE(requests, offers, queued);
+    // Nobody waits while other targets idle, for less than half an offer more a request.
+    CHECK(queued * 100 < requests);
+    CHECK(2 * offers < 3 * requests);
+}
+
+}
