Bytes without end are cut off: bounds for chunk sizes, extensions, trailers, provisional and skipped answers

Provisional answers had no bound in number, the body of a skipped answer or of a rejection none in bytes, a probe read up to 64 MB. A target whose answer had a head but no end by the deadline kept its standing, as did one that never answered.

What a rejection says is not waited for. A question for the pace that meets an answer to another request gives its connection up.

--- a/include/shallotrelay/guard/guard.h
+++ b/include/shallotrelay/guard/guard.h
@@ -112,6 +112,7 @@
     bool failed = false; ///< Whether the target answered with a server error or not at all.
     bool answered = false; ///< Whether the head of an answer came.
     Duration headLatency{}; ///< Time from the start until the head of the answer, if it came.
+    bool ranOut = false; ///< Whether the request's time ended before the answer was whole.
 };
 
 /// Decides which requests may go to one target.
@@ -213,6 +214,7 @@
     GuardAnswer offerAlone(const GuardOffer &offer, TimePoint now);
     void releaseAlone(TimePoint now, GuardRelease *release);
     GuardRelease refuseAllWaiting();
+    bool ranForLong(const Running &request, TimePoint now) const;
     void learnAbandoned(const Running &request, TimePoint now);
     void learnLatency(const GuardOutcome &outcome, TimePoint now);
     void checkForSlowness(TimePoint now);
--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -436,7 +436,8 @@
     if (m_alone && m_alone->ticket == ticket) {
         m_alone.reset();
     }
-    m_failureShare = blend(m_failureShare, outcome.failed ? 1.0 : 0.0, FailureWeight);
+    const bool failed = outcome.failed || (outcome.ranOut && ranForLong(request, now));
+    m_failureShare = blend(m_failureShare, failed ? 1.0 : 0.0, FailureWeight);
     if (!outcome.answered) {
         learnAbandoned(request, now);
     }
@@ -456,6 +457,15 @@
     return releaseWaiting(now);
 }
 
+/// A target that does not finish within its time what takes others far less has failed; a request that began with
+/// little time left says nothing of it.
+bool Guard::ranForLong(const Running &request, TimePoint now) const
+{
+    const auto known = m_workByRoute.find(request.route);
+    const double usual = known == m_workByRoute.end() ? m_recentLatency : known->second;
+    return toSeconds(now - request.start) > SlowFactor * usual;
+}
+
 /// A request that ended without an answer took at least as long as it ran.
 void Guard::learnAbandoned(const Running &request, TimePoint now)
 {
--- a/src/net/doorturn.h
+++ b/src/net/doorturn.h
@@ -49,11 +49,16 @@
 
 class DoorTurn;
 
+/// Bytes of a caller's input that are held: the largest head and one read of a body. A chunk's size line with
+/// extensions and the fields after the last chunk must fit.
+inline constexpr std::size_t MaxBufferedBytes = 192 * 1024;
+
 /// A caller's connection and the requests on it that are not answered in full, oldest first.
 struct DoorConnection {
     DoorConnection(DoorContext &c, tcp::socket socket)
         : context(c)
         , stream(std::move(socket))
+        , buffer(MaxBufferedBytes)
         , changed(stream.get_executor())
     {
     }
--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -25,6 +25,15 @@
 /// Answers to other requests that are skipped on one connection before it is given up.
 constexpr int MaxSkippedAnswers = 3;
 
+/// Bytes of an answer to another request, or of a rejection, that are read so that the connection can be used again.
+constexpr std::size_t MaxSkippedBytes = 64 * 1024;
+
+/// Time without progress after which such an answer is not read on.
+constexpr Duration SkipStall = std::chrono::milliseconds(200);
+
+/// The end of a request's time as its guard and as its door see it differ by the way between them.
+constexpr Duration DeadlineTolerance = std::chrono::milliseconds(5);
+
 /// A wait that is worth a log line.
 constexpr Duration ToldWait = std::chrono::milliseconds(1);
 
@@ -341,6 +350,10 @@
         if (!head.ok()) {
             co_return;
         }
+        if (!head->requestId.empty()) {
+            // A late copy of an earlier answer; what was asked for follows it, so the connection is given up.
+            co_return;
+        }
         const AnswerCheck check = m_impl->options.checkAnswer(RequestHead{}, *head);
         m_impl->notePace(check.pacePercent);
         while (!target.answerDone()) {
@@ -376,7 +389,10 @@
     {
         if (m_waiter) {
             leaveQueue();
-        } else if (m_admitted && m_connection && !m_headSeen) {
+            return;
+        }
+        m_outcome.ranOut = m_impl->options.clock->now() + DeadlineTolerance >= m_deadline;
+        if (m_admitted && m_connection && !m_headSeen) {
             m_impl->noteAbandoned(m_ticket);
             abandon();
         } else if (m_admitted) {
@@ -390,6 +406,7 @@
     {
         const auto executor = co_await asio::this_coro::executor;
         GuardAnswer answer;
+        m_deadline = deadline;
         {
             const std::lock_guard lock(m_impl->mutex);
             m_ticket = ++m_impl->lastTicket;
@@ -513,14 +530,14 @@
             closeAbandoned();
             return;
         }
-        auto wait = [](std::shared_ptr<Impl> impl, ConnectionPointer connection,
-                       GuardTicket ticket) -> asio::awaitable<void> {
+        auto wait = [](std::shared_ptr<Impl> impl, ConnectionPointer connection, GuardTicket ticket,
+                       GuardOutcome outcome) -> asio::awaitable<void> {
             co_await connection->cancelAndWait(impl->options.abandonBound);
             connection.reset();
-            impl->finish(ticket, {});
+            impl->finish(ticket, outcome);
         };
         const asio::any_io_executor executor = m_connection->executor();
-        asio::co_spawn(executor, wait(m_impl, std::move(m_connection), m_ticket), asio::detached);
+        asio::co_spawn(executor, wait(m_impl, std::move(m_connection), m_ticket, m_outcome), asio::detached);
     }
 
     /// Closes the connection and keeps the slot taken for the short time in which the target notices.
@@ -528,11 +545,11 @@
     {
         const asio::any_io_executor executor = m_connection->executor();
         m_connection.reset();
-        auto wait = [](std::shared_ptr<Impl> impl, GuardTicket ticket) -> asio::awaitable<void> {
+        auto wait = [](std::shared_ptr<Impl> impl, GuardTicket ticket, GuardOutcome outcome) -> asio::awaitable<void> {
             co_await sleepFor(impl->options.abandonedLinger);
-            impl->finish(ticket, {});
+            impl->finish(ticket, outcome);
         };
-        asio::co_spawn(executor, wait(m_impl, m_ticket), asio::detached);
+        asio::co_spawn(executor, wait(m_impl, m_ticket, m_outcome), asio::detached);
     }
 
     std::shared_ptr<Impl> m_impl;
@@ -541,6 +558,7 @@
     bool m_admitted = false;
     bool m_headSeen = false;
     TimePoint m_start;
+    TimePoint m_deadline;
     GuardOutcome m_outcome;
     ConnectionPointer m_connection;
 };
@@ -704,11 +722,16 @@
     /// Reads what is left of an answer and drops it.
     asio::awaitable<absl::Status> skipBody(TargetConnection &connection)
     {
+        std::size_t skipped = 0;
         while (!connection.answerDone()) {
-            const auto part = co_await connection.readBody(m_impl.options.stallTimeout);
+            const auto part = co_await connection.readBody(SkipStall);
             if (!part.ok()) {
                 co_return part.status();
             }
+            skipped += part->size();
+            if (skipped > MaxSkippedBytes) {
+                co_return absl::DataLossError("an answer to another request does not end");
+            }
         }
         co_return absl::OkStatus();
     }
@@ -751,7 +774,9 @@
         if (m_impl.options.onDoubt) {
             m_impl.options.onDoubt(TargetDoubt::Rejected);
         }
-        co_return co_await skipBody(connection);
+        // What the rejection says does not matter; a connection on which it does not end is not used again.
+        co_await skipBody(connection);
+        co_return absl::OkStatus();
     }
 
     asio::awaitable<absl::Status> relayAnswer(Slot &slot, TargetConnection &connection)
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -22,7 +22,8 @@
 namespace http = boost::beast::http;
 
 constexpr Duration RequestTimeout = std::chrono::seconds(30);
-constexpr std::size_t MaxReplyBytes = 64 * 1024 * 1024;
+/// Bytes that are held of what was not understood yet, such as chunk extensions and fields after the last chunk.
+constexpr std::size_t MaxBufferedBytes = 128 * 1024;
 constexpr unsigned Http11 = 11;
 
 HttpRequest toRequest(const http::request<http::string_body> &message)
@@ -69,7 +70,7 @@
     static asio::awaitable<void> serve(std::shared_ptr<Impl> self, tcp::socket socket)
     {
         boost::beast::tcp_stream stream(std::move(socket));
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer(MaxBufferedBytes);
         bool goOn = true;
         while (goOn) {
             http::request_parser<http::string_body> parser;
@@ -120,7 +121,8 @@
     m_impl->listener.stop();
 }
 
-asio::awaitable<absl::StatusOr<HttpReply>> httpCall(Address address, HttpRequest request, Duration timeout)
+asio::awaitable<absl::StatusOr<HttpReply>> httpCall(Address address, HttpRequest request, Duration timeout,
+                                                    std::size_t maxReplyBytes)
 {
     auto socket = co_await connectTo(co_await asio::this_coro::executor, address, timeout);
     if (!socket.ok()) {
@@ -140,9 +142,9 @@
     if (writeError) {
         co_return toStatus(writeError, "write to " + address.text());
     }
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(MaxBufferedBytes);
     http::response_parser<http::string_body> parser;
-    parser.body_limit(MaxReplyBytes);
+    parser.body_limit(maxReplyBytes);
     const auto [readError, m] = co_await http::async_read(stream, buffer, parser, AsTuple);
     if (readError) {
         co_return toStatus(readError, "read from " + address.text());
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -55,8 +55,13 @@
     std::shared_ptr<Impl> m_impl;
 };
 
-/// Sends one request on a connection of its own and returns the answer.
-asio::awaitable<absl::StatusOr<HttpReply>> httpCall(Address address, HttpRequest request, Duration timeout);
+/// Largest answer that httpCall() takes unless it is told otherwise, in bytes: a state of many thousand routes.
+inline constexpr std::size_t MaxReplyBytes = 64 * 1024 * 1024;
+
+/// Sends one request on a connection of its own and returns the answer. The time covers all of it, however slowly the
+/// other side sends.
+asio::awaitable<absl::StatusOr<HttpReply>> httpCall(Address address, HttpRequest request, Duration timeout,
+                                                    std::size_t maxReplyBytes = MaxReplyBytes);
 
 /// Sends one request and waits for the answer; for commands that have no event loop.
 absl::StatusOr<HttpReply> blockingHttpCall(const Address &address, const HttpRequest &request, Duration timeout);
--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -11,6 +11,11 @@
 {
 
 constexpr std::uint32_t MaxAnswerHeadBytes = 64 * 1024;
+/// Bytes that are held of what was not understood yet: a whole head and one read. A chunk's size line with extensions
+/// and the fields after the last chunk must fit, so that a target that never ends them is cut off.
+constexpr std::size_t MaxBufferedBytes = MaxAnswerHeadBytes + BodyChunkBytes;
+/// Provisional answers (1xx) before the final one; servers send one or two.
+constexpr int MaxInterimAnswers = 8;
 constexpr std::size_t SmallBodyBytes = 4 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned SwitchingProtocols = 101;
@@ -19,6 +24,7 @@
 
 TargetConnection::TargetConnection(tcp::socket socket, std::shared_ptr<std::atomic<std::size_t>> openCount)
     : m_stream(std::move(socket))
+    , m_buffer(MaxBufferedBytes)
     , m_openCount(std::move(openCount))
 {
     m_openCount->fetch_add(1);
@@ -44,7 +50,11 @@
 
 asio::awaitable<absl::StatusOr<ResponseHead>> TargetConnection::readHead(bool answersHead)
 {
+    int interim = 0;
     do {
+        if (interim++ > MaxInterimAnswers) {
+            co_return absl::DataLossError("the target sends provisional answers only");
+        }
         m_parser.emplace();
         m_parser->header_limit(MaxAnswerHeadBytes);
         m_parser->body_limit(boost::none);
--- a/tests/process/guardedtargettest.cpp
+++ b/tests/process/guardedtargettest.cpp
@@ -1,6 +1,6 @@
-#include "net/guardedtarget.h"
 #include "net/httpfields.h"
 #include "net/listener.h"
+#include "process/guarded.h"
 #include "support.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -175,106 +175,6 @@
     Listener m_listener;
 };
 
-class EmptyBody : public BodySource
-{
-public:
-    asio::awaitable<absl::StatusOr<std::string>> read() override
-    {
-        co_return std::string();
-    }
-
-    bool atEnd() const override
-    {
-        return true;
-    }
-};
-
-class DroppingSink : public AnswerSink
-{
-public:
-    asio::awaitable<absl::Status> head(const ResponseHead &, Flush) override
-    {
-        co_return absl::OkStatus();
-    }
-
-    asio::awaitable<absl::Status> chunk(std::string, Flush) override
-    {
-        co_return absl::OkStatus();
-    }
-
-    asio::awaitable<absl::Status> end(const LoadReport &) override
-    {
-        co_return absl::OkStatus();
-    }
-
-    asio::awaitable<absl::Status> admitted(const LoadReport &) override
-    {
-        co_return absl::OkStatus();
-    }
-};
-
-/// A guard before a target.
-template<class Target>
-struct Guarded {
-    template<class... Args>
-    explicit Guarded(std::uint32_t slots, Args... args)
-        : runtime(1)
-        , target(runtime, args...)
-    {
-        runtime.start();
-        GuardedTargetOptions options;
-        options.clock = &clock;
-        if constexpr (requires { Target::tune(&options); }) {
-            Target::tune(&options);
-        }
-        guarded = std::make_shared<GuardedTarget>(options);
-        GuardPolicy policy;
-        policy.served = true;
-        policy.slots = slots;
-        policy.connections = 100;
-        policy.coldSlots = slots;
-        policy.queueLength = 10;
-        policy.queueWait = 5s;
-        policy.revision = 1;
-        guarded->setPolicy(policy);
-        guarded->announced({"boot", TargetState::Ready, slots, 100}, target.address());
-    }
-
-    ~Guarded()
-    {
-        runtime.stop();
-    }
-
-    ExchangeResult get()
-    {
-        return send(5s).get();
-    }
-
-    std::future<ExchangeResult> send(Duration timeLeft, bool lastOffer = false)
-    {
-        auto one
-            = [](std::shared_ptr<GuardedTarget> to, TimePoint deadline, bool last) -> asio::awaitable<ExchangeResult> {
-            RequestHead head;
-            head.requestId = "r";
-            head.method = "GET";
-            head.path = "/";
-            head.repeatable = true;
-            head.mayQueue = true;
-            head.lastOffer = last;
-            EmptyBody body;
-            DroppingSink sink;
-            ExchangeProgress progress;
-            co_return co_await to->run(head, body, sink, progress, deadline);
-        };
-        return asio::co_spawn(runtime.shard(0), one(guarded, clock.now() + timeLeft, lastOffer), asio::use_future);
-    }
-
-    SystemClock clock;
-    Runtime runtime;
-    Target target;
-    std::shared_ptr<GuardedTarget> guarded;
-};
-
 }
 
 TEST_CASE("A request whose connection is reset while the target works on it does not reach that target again")
