--- a/include/shallotrelay/membership/targetpresence.h
+++ b/include/shallotrelay/membership/targetpresence.h
@@ -34,6 +34,7 @@
 /// What a probe of the target's address showed.
 struct TargetProbe {
     std::string id; ///< Name of the start that answered.
+    bool healthy = true; ///< Whether it says that it is well and not leaving.
     std::uint32_t slots = 0; ///< Requests at once that it bears, 0 if it does not tell.
     std::optional<Duration> coldLeft; ///< How much longer it stays cold, if it tells.
     std::uint32_t pacePercent = 0; ///< How long work takes on its VM at present, 0 if it does not tell.
@@ -58,6 +59,11 @@
     /// Takes in a probe; returns whether it showed a start that was not known.
     bool probed(const TargetProbe &probe, const std::string &service, const std::string &address);
 
+    /// Returns whether the present target may get work. The first target that is heard of after the node has started
+    /// may have left before: what it said then is forgotten, and its heartbeats may arrive late. It is confirmed once
+    /// it says that it is well, or has sent a second heartbeat, which one that has left does not do.
+    bool confirmed() const;
+
     /// Returns the present target, or none if nothing was heard of one.
     const std::optional<PresentTarget> &current() const;
 
@@ -66,6 +72,8 @@
 
     std::optional<PresentTarget> m_current;
     std::uint64_t m_starts = 0;
+    std::uint32_t m_heartbeats = 0; // of the first start
+    bool m_saidWell = false; // by the first start, to a probe
 };
 
 }
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -503,7 +503,8 @@
         out.name = now.said.id;
         out.address = parseAddress(now.said.address).value_or(options.target);
         out.target.bootId = std::to_string(now.start);
-        out.target.state = now.said.leaving || guardLeft ? TargetState::Leaving : TargetState::Ready;
+        const bool takesWork = !now.said.leaving && !guardLeft && presence.confirmed();
+        out.target.state = takesWork ? TargetState::Ready : TargetState::Leaving;
         out.target.slots = now.said.slots;
         // While the target cannot be reached, only a probe tells that it is warm.
         out.target.coldLeft = unreachable ? std::nullopt : coldLeft;
--- a/src/membership/targetpresence.cpp
+++ b/src/membership/targetpresence.cpp
@@ -25,6 +25,7 @@
     const bool sameStart = sameId && sameBirth;
     const bool wasLeaving = sameStart && m_current->said.leaving;
     const std::uint64_t start = sameStart ? m_current->start : ++m_starts;
+    m_heartbeats += start == 1 ? 1 : 0;
     m_current = PresentTarget{heartbeat, start};
     // A start that has said that it leaves does not come back.
     m_current->said.leaving = heartbeat.leaving || wasLeaving;
@@ -51,12 +52,19 @@
         said.slots = probe.slots > 0 ? probe.slots : (m_current ? m_current->said.slots : 1);
         m_current = PresentTarget{said, ++m_starts};
     }
+    m_saidWell = m_saidWell || (m_starts == 1 && probe.healthy);
     if (probe.coldLeft) {
         m_current->said.coldLeft = *probe.coldLeft;
     }
     return !known;
 }
 
+bool TargetPresence::confirmed() const
+{
+    constexpr std::uint32_t EnoughHeartbeats = 2;
+    return m_starts > 1 || m_saidWell || m_heartbeats >= EnoughHeartbeats;
+}
+
 const std::optional<PresentTarget> &TargetPresence::current() const
 {
     return m_current;
--- a/tests/unit/intenttest.cpp
+++ b/tests/unit/intenttest.cpp
@@ -171,6 +171,43 @@
     CHECK_FALSE(presence.left("a"));
 }
 
+TEST_CASE("After a restart of its node a target that has left gets nothing, also when its late heartbeat arrives")
+{
+    TargetPresence presence;
+    TargetProbe probe;
+    probe.id = "a";
+    probe.slots = 14;
+    probe.healthy = false;
+    presence.probed(probe, "redactie", "127.0.0.1:7080");
+    CHECK_FALSE(presence.confirmed());
+    presence.heartbeat(heartbeatOf("a", 1000, 9));
+    CHECK_FALSE(presence.confirmed());
+    // The same one once more, and an older one, tell nothing new.
+    presence.heartbeat(heartbeatOf("a", 1000, 9));
+    presence.heartbeat(heartbeatOf("a", 1000, 8));
+    CHECK_FALSE(presence.confirmed());
+}
+
+TEST_CASE("After a restart of its node a target is confirmed by its health, or by going on to send heartbeats")
+{
+    TargetPresence well;
+    TargetProbe probe;
+    probe.id = "a";
+    well.probed(probe, "redactie", "127.0.0.1:7080");
+    CHECK(well.confirmed());
+    TargetPresence ill;
+    probe.healthy = false;
+    ill.probed(probe, "redactie", "127.0.0.1:7080");
+    ill.heartbeat(heartbeatOf("a", 1000, 9));
+    ill.heartbeat(heartbeatOf("a", 1000, 10));
+    CHECK(ill.confirmed());
+    // A start that follows while the node runs needs no second look.
+    TargetPresence next;
+    next.heartbeat(heartbeatOf("a", 1000, 9));
+    next.heartbeat(heartbeatOf("b", 2000, 1));
+    CHECK(next.confirmed());
+}
+
 TEST_CASE("A probe finds a target that nobody announced, and its next heartbeat completes it")
 {
     TargetPresence presence;
--- a/tests/unit/platformwiretest.cpp
+++ b/tests/unit/platformwiretest.cpp
@@ -78,6 +78,8 @@
     CHECK(kindOf(answerOf(200, "b", {seal})) == Kind::OtherRequest);
     CHECK(kindOf(answerOf(200, "a", {})) == Kind::Invalid);
     CHECK(kindOf(answerOf(200, "", {seal})) == Kind::Invalid);
+    CHECK(kindOf(answerOf(500, "", {seal})) == Kind::Invalid);
+    CHECK(kindOf(answerOf(404, "", {})) == Kind::Invalid);
     CHECK(kindOf(answerOf(200, "a", {seal, {"Content-Encoding", "gzip"}})) == Kind::Invalid);
     CHECK(kindOf(answerOf(503, "a", {{"Shallotrelay-Not-Executed", "1"}})) == Kind::Rejected);
     CHECK(kindOf(answerOf(421, "a", {})) == Kind::Rejected);
--- a/tests/unit/replicatest.cpp
+++ b/tests/unit/replicatest.cpp
@@ -419,6 +419,38 @@
     CHECK(*cluster.leader() != old);
 }
 
+TEST_CASE("A leader that was paused while another took over confirms no read and commits no order of its own")
+{
+    for (const Duration pause : {1s, 5s, 20s}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Cluster cluster(5, seed);
+            cluster.run(2s);
+            const std::size_t old = *cluster.leader();
+            cluster.setBusy(old, true);
+            cluster.run(pause);
+            REQUIRE(cluster.leader());
+            CHECK(*cluster.leader() != old);
+            REQUIRE(cluster.propose("new"));
+            cluster.run(200ms);
+            // It wakes up, and an order and a read reach it before any message of the others does.
+            cluster.setBusy(old, false);
+            const bool reads = cluster.at(old).requestRead(7, at(0s) + 2s + pause + 200ms);
+            const auto proposed = cluster.at(old).propose("old", at(0s) + 2s + pause + 200ms);
+            cluster.pump(old);
+            cluster.run(3s);
+            CAPTURE(reads, seed);
+            CHECK_FALSE(cluster.confirmed.contains(7));
+            int orders = 0;
+            for (const auto &it : cluster.chosen) {
+                orders += it.second.ends_with("/old") ? 1 : 0;
+            }
+            CHECK(orders == 0);
+            CHECK(cluster.safe);
+            static_cast<void>(proposed);
+        }
+    }
+}
+
 TEST_CASE("A leader that is busy with one large command for 0.45 s stays the leader")
 {
     // Checking a change of 1,400 routes takes 50 ms of a whole core, and more than that of a sixth of one.
