Nodes take 0.65 of the shared retries, since calls of repeated runs come on top

Each run at redactie makes 1.4 calls to arhiva on average; those of repeated runs count there, and the node beside such a run can offset them from its own budget only up to what it has. Ruled out: rejections that are sent on without being charged (retry.cpp charges each that reached a target).

--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -74,7 +74,7 @@
 constexpr std::size_t HoldBodyBytes = 64 * 1024;
 /// Part of the shared retries that nodes take; the rest covers what a node cannot count, such as calls of runs that
 /// other nodes have repeated.
-constexpr double RetryShare = 0.75;
+constexpr double RetryShare = 0.65;
 /// Part of what a cold target may get beyond its stated rate that is used; the rest covers starts that arrive late.
 constexpr double ColdMarginShare = 0.5;
 /// Nodes that are assumed to share the retries as long as fewer are known.
--- a/tests/process/guardedtargettest.cpp
+++ b/tests/process/guardedtargettest.cpp
@@ -242,6 +242,7 @@
     std::this_thread::sleep_for(20ms);
     const int before = paced.target.looks;
     std::vector<std::future<ExchangeResult>> all;
+    all.reserve(10);
     for (int i = 0; i < 10; ++i) {
         all.push_back(paced.send(5s));
     }
