--- a/tests/process/sentaheadtest.cpp
+++ b/tests/process/sentaheadtest.cpp
@@ -321,7 +321,7 @@
     ScriptedDoor door;
     Caller caller(door, door.door());
     caller.send(get("/ok/100/a") + get("/fail/1/b") + get("/none/1/c") + get("/ok/1/d"));
-    const std::string all = caller.readUntil("HTTP/1.1", 4) + caller.readUntil("d", 1);
+    const std::string all = caller.readUntil("\r\n\r\nd", 1);
     const auto at = [&](const std::string &text) { return all.find(text); };
     CHECK(at("200 OK") < at("502 Bad Gateway"));
     CHECK(at("502 Bad Gateway") < at("404 Not Found"));
@@ -482,9 +482,8 @@
                 }
             }
         });
-        const std::string answers = caller.readUntil("200 OK", n) + "";
+        std::string whole = caller.readUntil("200 OK", n);
         sender.join();
-        std::string whole = answers;
         while (bodiesOf(whole).size() < expected.size() || bodiesOf(whole).back() != expected.back()) {
             const std::string more = caller.readUntil("x", 1);
             if (more.empty()) {
