--- a/tests/process/brokenanswertest.cpp
+++ b/tests/process/brokenanswertest.cpp
@@ -1,3 +1,4 @@
+#include "net/stopsource.h"
 #include "process/guarded.h"
 
 #include <catch2/catch.hpp>
@@ -115,6 +116,47 @@
     Listener m_listener;
 };
 
+/// A target that takes requests and never answers.
+class MuteTarget
+{
+public:
+    explicit MuteTarget(Runtime &runtime)
+        : m_listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
+            asio::co_spawn(loop, serve(std::move(socket)), asio::detached);
+        })
+    {
+        REQUIRE(m_listener.start(Address{"127.0.0.1", 0}).ok());
+    }
+
+    static void tune(GuardedTargetOptions *options)
+    {
+        options->closesAbandoned = true;
+    }
+
+    Address address() const
+    {
+        return m_listener.address();
+    }
+
+    std::atomic<int> connections = 0;
+    std::atomic<int> open = 0;
+
+private:
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        ++connections;
+        ++open;
+        std::string buf(4096, '\0');
+        boost::system::error_code ec;
+        while (!ec) {
+            std::tie(ec, std::ignore) = co_await socket.async_read_some(asio::buffer(buf), AsTuple);
+        }
+        --open;
+    }
+
+    Listener m_listener;
+};
+
 /// Keeps the body of an answer.
 class KeepingSink : public DroppingSink
 {
@@ -185,4 +227,37 @@
     }
 }
 
+TEST_CASE("A target that stays silent loses its standing, and its connection is closed and not used again")
+{
+    Guarded<MuteTarget> guarded(4);
+    for (int i = 1; i <= 3; ++i) {
+        auto one = [&]() -> asio::awaitable<bool> {
+            const auto stop = std::make_shared<StopSource>();
+            asio::steady_timer timer(co_await asio::this_coro::executor);
+            timer.expires_after(100ms);
+            timer.async_wait([stop](boost::system::error_code ec) {
+                if (!ec) {
+                    stop->stop(StopReason::Deadline);
+                }
+            });
+            RequestHead head;
+            head.requestId = "r";
+            head.method = "GET";
+            head.path = "/";
+            head.repeatable = true;
+            EmptyBody body;
+            DroppingSink sink;
+            ExchangeProgress progress;
+            const TimePoint deadline = guarded.clock.now() + 100ms;
+            const auto result = co_await stop->run(guarded.guarded->run(head, body, sink, progress, deadline));
+            co_return result.has_value();
+        };
+        CHECK_FALSE(asio::co_spawn(guarded.runtime.shard(0), one(), asio::use_future).get());
+        CHECK(eventually([&] { return guarded.target.open == 0; }, 2s));
+        CHECK(guarded.target.connections == i);
+        CHECK(eventually([&] { return guarded.guarded->load().inFlight == 0; }, 2s));
+    }
+    CHECK(guarded.guarded->load().failurePerMille > 300);
+}
+
 }
--- a/tests/process/sentaheadtest.cpp
+++ b/tests/process/sentaheadtest.cpp
@@ -136,7 +136,8 @@
         head.bodyKind = kind == "ok" ? BodyKind::Sized : BodyKind::Streamed;
         head.contentLength = body.size();
         absl::Status status = co_await sink.head(head, Flush::Now);
-        const int parts = kind == "big" ? 640 : 1;
+        // The answer to HEAD has no body.
+        const int parts = request.head.method == "HEAD" ? 0 : kind == "big" ? 640 : 1;
         for (int i = 0; i < parts && status.ok(); ++i) {
             std::string part = kind == "ok" ? body : std::string(BodyChunkBytes, 'x');
             produced += kind == "big" ? part.size() : 0;
@@ -376,6 +377,38 @@
     CHECK(bodiesOf(caller.readUntil("200 OK", 1)) == std::vector<std::string>{"savex"});
 }
 
+TEST_CASE("HEAD among requests sent ahead is answered in its place and without a body")
+{
+    ScriptedDoor door;
+    Caller caller(door, door.door());
+    caller.send(get("/ok/50/a") + "HEAD /ok/1/headonly HTTP/1.1\r\nHost: x\r\n\r\n" + get("/ok/20/b"));
+    const std::string all = caller.readUntil("\r\n\r\nb", 1);
+    CHECK(Caller::countIn(all, "200 OK") == 3);
+    CHECK(all.find("headonly") == std::string::npos);
+    CHECK(all.find("\r\n\r\na") < all.find("Content-Length: 8"));
+    CHECK(all.find("Content-Length: 8") < all.find("\r\n\r\nb"));
+}
+
+TEST_CASE("Reads behind one that closes the connection are not begun")
+{
+    ScriptedDoor door;
+    Caller caller(door, door.door());
+    caller.send(get("/ok/20/a") + get("/ok/20/b", "Connection: close\r\n") + get("/ok/1/c"));
+    CHECK(bodiesOf(caller.readAll()) == std::vector<std::string>{"a", "b"});
+    CHECK(door.countOf("begin c") == 0);
+}
+
+TEST_CASE("A head that is too large behind good requests is refused after their answers")
+{
+    ScriptedDoor door;
+    Caller caller(door, door.door());
+    caller.send(get("/ok/100/a") + get("/ok/1/b", "X-Large: " + std::string(20000, 'x') + "\r\n"));
+    const std::string all = caller.readAll();
+    CHECK(all.find("200 OK") < all.find(" 431 "));
+    CHECK(all.find(" 431 ") != std::string::npos);
+    CHECK(door.countOf("begin b") == 0);
+}
+
 TEST_CASE("Two hundred requests in one packet are all answered, within the bound of the connection")
 {
     ScriptedDoor door;
