Replica log: a torn batch cannot declare a replaced entry committed

A message of a new leader that replaces an uncommitted entry and reports the replacement as committed gives a batch whose commit index covers its own entry. A power failure between the two records left the new commit index with the old entry, and a start applied that entry as committed: a state that was never acknowledged, at one control VM, which then refused the real entry for good.

The hard state before the entries now has a commit index below them; the full one follows the entries.

--- a/src/storage/replicalog.cpp
+++ b/src/storage/replicalog.cpp
@@ -51,12 +51,23 @@
     if (batch.snapshot) {
         appendRecord(&out, *batch.snapshot);
     }
+    const bool commitsEntries
+        = batch.hardState && !batch.entries.empty() && batch.hardState->commit >= batch.entries.front().index;
     if (batch.hardState) {
-        appendRecord(&out, *batch.hardState);
+        HardState hardState = *batch.hardState;
+        // Only a complete batch may raise the commit index to its entries: a torn one may still hold other entries at
+        // their indexes.
+        if (commitsEntries) {
+            hardState.commit = batch.entries.front().index - 1;
+        }
+        appendRecord(&out, hardState);
     }
     for (const ConsensusEntry &it : batch.entries) {
         appendRecord(&out, it);
     }
+    if (commitsEntries) {
+        appendRecord(&out, *batch.hardState);
+    }
     return out;
 }
 
--- a/tests/unit/replicalogtest.cpp
+++ b/tests/unit/replicalogtest.cpp
@@ -156,6 +156,31 @@
     }
 }
 
+// Guards against a commit index that covers an entry of an old leader, which a start would apply as committed.
+TEST_CASE("A replica log torn at any byte never restores a commit index above the entries that it covers")
+{
+    const TemporaryFolder folder;
+    std::uintmax_t validSize = 0;
+    {
+        const auto log = initialisedLog(folder);
+        REQUIRE(log->store({std::nullopt, HardState{1, "", 1}, {entryOf(1, 1), entryOf(2, 1)}}).ok());
+        validSize = std::filesystem::file_size(folder.file());
+        // A new leader replaces the uncommitted entry 2 and reports its own as committed in the same message.
+        REQUIRE(log->store({std::nullopt, HardState{2, "", 2}, {entryOf(2, 2)}}).ok());
+    }
+    const auto fullSize = std::filesystem::file_size(folder.file());
+    for (auto size = validSize; size <= fullSize; ++size) {
+        const TemporaryFolder torn;
+        std::filesystem::create_directories(torn.path());
+        std::filesystem::copy_file(folder.file(), torn.file());
+        std::filesystem::resize_file(torn.file(), size);
+        const RecoveredReplica recovery = reopen(torn);
+        CAPTURE(size);
+        REQUIRE(recovery.disk.entries.size() == 2);
+        CHECK((recovery.disk.hardState.commit < 2 || recovery.disk.entries[1].term == 2));
+    }
+}
+
 TEST_CASE("A replica log discards a last batch with a corrupted byte")
 {
     const TemporaryFolder folder;
