Intent store: refuses a change that makes the state too large for a frame

Beyond 4 MiB a frame carries it neither to the other control VMs nor to nodes, so each such order would cost the leader its quorum (by reading; not played with several control VMs).

The store now refuses an order whose state would exceed 3 MiB, as invalid.

--- a/include/shallotrelay/intent/intentledger.h
+++ b/include/shallotrelay/intent/intentledger.h
@@ -9,6 +9,7 @@
 
 #include "shallotrelay/messages.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -18,6 +19,10 @@
 namespace shallotrelay
 {
 
+/// Maximum size of a document, in bytes. A frame of MaxFramePayloadBytes (4 MiB) carries it to other control VMs and to
+/// nodes, with the digests of all accepted orders in a snapshot.
+inline constexpr std::size_t MaxDocumentBytes = 3 * 1024 * 1024;
+
 /// Verdict on an order.
 enum class IntentVerdict {
     Accepted, ///< The order changes the state.
--- a/src/daemon/intentstore.cpp
+++ b/src/daemon/intentstore.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/thread_pool.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <atomic>
@@ -536,6 +537,12 @@
             result.reason = std::string(order.status().message());
             co_return result;
         }
+        if (order->document.size() > MaxDocumentBytes) {
+            result.outcome = StoreOutcome::Invalid;
+            result.reason = fmt::format("the state would have {} bytes; the limit is {} bytes", order->document.size(),
+                                        MaxDocumentBytes);
+            co_return result;
+        }
         result.verdict = state.check(*order);
         if (result.verdict != IntentVerdict::Accepted) {
             result.outcome = StoreOutcome::Done;
--- a/tests/process/recoverytest.cpp
+++ b/tests/process/recoverytest.cpp
@@ -89,6 +89,27 @@
     }
 }
 
+/// Returns an order that adds a route of `bytes` bytes.
+std::string growthOf(int version, std::size_t bytes)
+{
+    nlohmann::json route = routeOf(static_cast<std::size_t>(version), 1200);
+    route["pathPrefix"] = fmt::format("/{}{}/", version, std::string(bytes, 'x'));
+    const nlohmann::json change = {
+        {"version", version}, {"baseVersion", version - 1}, {"upsert", {{"routes", nlohmann::json::array({route})}}}};
+    return change.dump();
+}
+
+}
+
+// Guards against a state that no frame can carry to the other control VMs and to nodes.
+TEST_CASE("Control process refuses a change after which the state would be too large and accepts a smaller one")
+{
+    constexpr std::size_t Growth = 1500 * 1024;
+    SingleVoterControl control;
+    REQUIRE(control.callWithRetries("PUT", "/config", largeState(1, 0).dump()).status == 200);
+    REQUIRE(control.callWithRetries("PATCH", "/config", growthOf(2, Growth)).status == 200);
+    CHECK(control.callWithRetries("PATCH", "/config", growthOf(3, Growth)).status == 400);
+    CHECK(control.callWithRetries("PATCH", "/config", growthOf(3, 100)).status == 200);
 }
 
 // Guards against a log that holds so many large states that no control VM has the memory to start with it.
