Node: believes only heartbeats of its own service and address

Cause: a node took the service of its VM from whatever heartbeat came last, although the platform tells it (--service). A later start time was enough to displace the target. The health path was looked up for the foreign service, so the probe that would have found the right target was not sent.

Change: HeartbeatCheck (membership) compares service and address of each heartbeat with what the node was told, and wants a start time once targets have stated one. HeartbeatIntake counts what is refused by reason (shallotrelay_heartbeats_not_applied_total) and logs heartbeat-refused: the logs showed only the target that resulted. A refused heartbeat is answered 400.

--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -7,6 +7,7 @@
 #include "net/beaconsocket.h"
 #include "shallotrelay/admission/requestageestimator.h"
 #include "shallotrelay/membership/controlselector.h"
+#include "shallotrelay/membership/targettracker.h"
 #include "wire/frame.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -148,6 +149,7 @@
                                      [this](const CleanRunNotice &notice) { containment.applyNotice(notice); }})
         , metricsServer(runtime, MaxMetricsBytes, [this](HttpRequest request) { return serve(std::move(request)); })
         , controlSelector(seedAddresses())
+        , heartbeats({options.service, options.target.text()}, log, metrics)
         , probeTimer(runtime.shard(0))
         , startedAt(clock.now())
     {
@@ -175,6 +177,7 @@
     std::map<std::string, TimePoint> disconnectedSince;
     std::string primaryControl;
     TargetTracker targetTracker;
+    HeartbeatIntake heartbeats;
     asio::steady_timer probeTimer;
     TimePoint nextProbe;
     TimePoint lastProbe;
@@ -286,7 +289,7 @@
         head.route = route->name;
         head.priority = route->priority;
         head.repeatable = route->repeatable();
-        head.callerService = targetTracker.current() ? targetTracker.current()->reported.service : options.service;
+        head.callerService = targetService();
         head.idempotencyKey.clear();
         hooks.removeReservedFields(&head.headers);
         if (route->objective > Duration::zero()) {
@@ -461,13 +464,11 @@
     AnnouncementResult announce(const TargetHeartbeat &heartbeat)
     {
         const auto before = targetTracker.current();
-        if (!targetTracker.applyHeartbeat(heartbeat)) {
-            log.write(LogLevel::Info, "heartbeat-stale",
-                      LogFields().add("target", heartbeat.id).add("sequence", heartbeat.sequence));
-            return AnnouncementResult::Stale;
+        const AnnouncementResult result = heartbeats.take(heartbeat, &targetTracker, clock.now());
+        if (result == AnnouncementResult::Accepted) {
+            applyPresence(before, heartbeat.remainingColdTime, false);
         }
-        applyPresence(before, heartbeat.remainingColdTime, false);
-        return AnnouncementResult::Accepted;
+        return result;
     }
 
     /// Applies the known state of the target to its guard. The remaining cold time is current if it comes from a probe
@@ -528,6 +529,11 @@
                 guarded->refuseFor(MaxHoldDuration);
             }
         }
+        probeSoon();
+    }
+
+    void probeSoon()
+    {
         nextProbe = std::min(nextProbe, std::max(clock.now(), lastProbe + FastProbeInterval));
         probeTimer.cancel();
     }
@@ -538,12 +544,17 @@
         return target ? local.find({ClusterFirm, target->reported.service}, target->reported.id) : nullptr;
     }
 
+    /// Returns the service of the VM. The target may name it only if the platform does not.
+    std::string targetService() const
+    {
+        const auto &target = targetTracker.current();
+        return options.service.empty() && target ? target->reported.service : options.service;
+    }
+
     std::string healthPath() const
     {
         const auto bundle = services.bundleOf(ClusterFirm);
-        const auto &target = targetTracker.current();
-        const std::string service = target ? target->reported.service : options.service;
-        const ServicePolicy *policy = bundle ? bundle->bundle.findService(service) : nullptr;
+        const ServicePolicy *policy = bundle ? bundle->bundle.findService(targetService()) : nullptr;
         return policy == nullptr ? "" : policy->healthPath;
     }
 
@@ -591,7 +602,7 @@
             }
         }
         const auto before = targetTracker.current();
-        if (targetTracker.applyProbe(*probe, options.service, options.target.text(), lastProbe)) {
+        if (targetTracker.applyProbe(*probe, targetService(), options.target.text(), lastProbe)) {
             log.write(LogLevel::Info, "target-found",
                       LogFields()
                           .add("target", probe->id)
--- a/src/daemon/clusternode.h
+++ b/src/daemon/clusternode.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "daemon/eventlog.h"
+#include "daemon/heartbeatintake.h"
 #include "net/guardedtarget.h"
 #include "net/httpfrontend.h"
 #include "net/httpserver.h"
@@ -35,12 +36,6 @@
     std::function<asio::awaitable<absl::StatusOr<TargetProbe>>(Address address, std::string path)> probe;
 };
 
-/// The result of an announcement by the target.
-enum class AnnouncementResult {
-    Accepted, ///< The guard applies it.
-    Stale, ///< Ignored: it is older than the latest known state of the target.
-};
-
 /// One node of a cluster. Runs on the first event loop of the runtime.
 class ClusterNode
 {
@@ -48,7 +43,7 @@
     struct Options {
         std::string name; ///< Name of the node.
         std::string dataCentre; ///< Data centre of its VM.
-        std::string service; ///< Service of the local target until the target announces another one.
+        std::string service; ///< Service of the local target; heartbeats of other services are refused.
         Address target; ///< Where the local target accepts requests.
         Address listen; ///< Where callers connect.
         Address peerListen; ///< Where other processes of the system connect, and where datagrams such as load beacons
@@ -70,7 +65,7 @@
     /// Starts to listen on all addresses; returns the first error if one of them cannot be used.
     absl::Status start();
 
-    /// Processes a heartbeat of the local target; returns whether it was accepted.
+    /// Processes a heartbeat for the local target; returns whether it takes effect.
     AnnouncementResult announce(const TargetHeartbeat &heartbeat);
 
     /// Notes that the local target with this id is about to exit and accepts no new requests.
--- /dev/null
+++ b/tests/process/clusternodeharness.h
@@ -0,0 +1,92 @@
+/// Starts a node of a cluster beside a simulated target, with a control process that has a state.
+#pragma once
+
+#include "net/listener.h"
+#include "process/singlevotercontrol.h"
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace shallotrelay
+{
+
+/// A target on loopback that answers health probes with its id and records the requests that it runs.
+class RecordingTarget
+{
+public:
+    /// A request that the target ran.
+    struct Run {
+        TimePoint at; ///< Time of arrival.
+        std::string callerService; ///< Service of the VM at which the request began, as the node states it.
+    };
+
+    RecordingTarget();
+    ~RecordingTarget();
+
+    RecordingTarget(const RecordingTarget &) = delete;
+    RecordingTarget &operator=(const RecordingTarget &) = delete;
+
+    Address address() const;
+
+    /// Sets the id that the target states in probes, and whether it is healthy.
+    void setState(const std::string &id, bool healthy);
+
+    /// Returns the requests that the target ran after a time.
+    std::vector<Run> runsAfter(TimePoint time) const;
+
+private:
+    asio::awaitable<void> serve(tcp::socket socket);
+    std::string respond(const std::string &head);
+
+    Runtime m_runtime;
+    Listener m_listener;
+    mutable std::mutex m_mutex;
+    std::string m_id = "i-1";
+    bool m_healthy = true;
+    std::vector<Run> m_runs;
+};
+
+/// A heartbeat as a target sends it; tests change single fields.
+struct HeartbeatFields {
+    std::string id = "i-1";
+    std::string service = "redactie";
+    std::string state = "ready";
+    std::uint64_t sequence = 1;
+    std::uint64_t startedAtMs = 0; ///< Omitted if 0.
+};
+
+/// A node process whose target has the service "redactie" and which has a route to it.
+class ClusterNodeHarness
+{
+public:
+    /// Starts the processes and waits until the node serves a request; fails the test otherwise.
+    ClusterNodeHarness();
+
+    /// Sends a heartbeat to the node and returns the status of the response.
+    std::uint16_t announce(const HeartbeatFields &fields) const;
+
+    /// Sends a body as a heartbeat to the node and returns the status of the response, 0 if there was none.
+    std::uint16_t announceRaw(const std::string &id, const std::string &body) const;
+
+    /// Sends a call to the node's address for announcements and returns the status of the response.
+    std::uint16_t call(const std::string &method, const std::string &path) const;
+
+    /// Sends a request of a caller and returns the response, empty if there was none.
+    std::string request() const;
+
+    /// Sends requests at an interval of 20 ms for a time.
+    void sendRequests(Duration span) const;
+
+    RecordingTarget target;
+    std::unique_ptr<Process> node;
+
+private:
+    SingleVoterControl m_control;
+    TemporaryDirectory m_folder;
+    Address m_callers;
+    Address m_announcements;
+};
+
+}
--- a/tests/process/singlevotercontrol.h
+++ b/tests/process/singlevotercontrol.h
@@ -74,6 +74,11 @@
         return m_peerAddress;
     }
 
+    const Address &operatorAddress() const
+    {
+        return m_operatorAddress;
+    }
+
     std::unique_ptr<Process> process;
 
 private:
