Target tracker: the start time does not order the starts of one target alone

All its heartbeats are answered 200 and dropped as old, "draining" too, and about 120 requests reach it later than 2 s after that acknowledgement.

Cause: TargetTracker ordered starts by the start time that the target reads from its clock, and took a smaller one for a delayed heartbeat whatever came after it. The adapter answered 200 without looking at the result.

Change: - A start time proves only that a start is new if it is later and unknown. Every other heartbeat of a start that is not the current one makes that start a rival. A probe that reports the id of the rival, or a further heartbeat of it at least 1 s later with none of the current start between them, makes it the current one; a probe or heartbeat of the current one refutes it. So delayed heartbeats of an ended start still do not revive it, and a wrong order costs a heartbeat or two, never more. - "Leaving" always takes effect: from a late heartbeat, from a rival with the same id until the current start contradicts it, and from a withdrawal of an id that the node has not heard of yet (it was acknowledged and forgotten). - A target that another one displaced returns as it was known, so it does not stop leaving. - A heartbeat that is ignored as outdated is answered 409, not 200. Log line heartbeat-unconfirmed for rivals.

--- a/include/shallotrelay/membership/targettracker.h
+++ b/include/shallotrelay/membership/targettracker.h
@@ -1,11 +1,16 @@
 /// Tracks the one target beside a node from its heartbeats, which may arrive late, and from probes of its address.
 ///
-/// A heartbeat of an earlier instance of the target may arrive after a later instance has announced itself, and a
-/// restarted target may reuse its id. Instances are ordered by their start time, heartbeats of one instance by their
-/// sequence. A probe shows which instance is at the address at present and so takes precedence over heartbeats.
+/// A heartbeat of an earlier instance of the target may arrive after a later instance has announced itself, a restarted
+/// target may reuse its id, and the clock that gives the start times may be set back between two starts. So a start
+/// time alone proves only that a start is new: a heartbeat of another start that does not have a later start time is
+/// kept as a rival. The rival becomes the current target once a probe of the address reports its id, or once it sends a
+/// further heartbeat while the current one sends none. A probe shows which instance is at the address at present and so
+/// takes precedence over heartbeats.
+///
+/// Load pattern: targets crash and start again within a second while clocks are being corrected.
 ///
 ///     TargetTracker tracker;
-///     if (tracker.applyHeartbeat(heartbeat)) { announce(*tracker.current()); }
+///     if (tracker.applyHeartbeat(heartbeat, now) == HeartbeatOutcome::Applied) { announce(*tracker.current()); }
 #pragma once
 
 #include "shallotrelay/base/clock.h"
@@ -13,6 +18,7 @@
 #include "shallotrelay/messages.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
 #include <string>
@@ -48,24 +54,32 @@
     std::uint64_t start = 0; ///< Number of the instance, which increases with each one that the node detects.
 };
 
+/// What a tracker did with a heartbeat.
+enum class HeartbeatOutcome {
+    Applied, ///< The current target is as the heartbeat states.
+    Pending, ///< It is that of a rival, which a probe or a further heartbeat may confirm.
+    Outdated, ///< Ignored: it is older than another one of the same start.
+};
+
 /// Derives the current target from heartbeats and probes in any order.
 class TargetTracker
 {
 public:
-    /// Applies a heartbeat; returns false if it is outdated.
-    bool applyHeartbeat(const TargetHeartbeat &heartbeat);
+    /// Applies a heartbeat. If its target is leaving, this always takes effect: at once if it may be the current one,
+    /// and otherwise when it becomes the current one.
+    HeartbeatOutcome applyHeartbeat(const TargetHeartbeat &heartbeat, TimePoint now);
 
     /// Marks the target with this id as leaving: it accepts no new requests and will stop. Returns whether it is the
-    /// current one.
+    /// current one; otherwise it is marked when it becomes the current one.
     bool markLeaving(const std::string &id);
 
     /// Marks the target with this id as leaving because it stated that in a response. Returns whether it is the current
     /// one.
     bool recordLeavingStatement(const std::string &id, TimePoint now);
 
-    /// Applies the result of a probe that was sent at the given time; returns whether it detected a new instance. If
-    /// the start time of a target is not known and it has only stated that it is leaving, a healthy response without
-    /// the statement to a later probe is that of a new instance under the same id.
+    /// Applies the result of a probe of a target of this service and address that was sent at the given time; returns
+    /// whether it detected a new instance. If the start time of a target is not known and it has only stated that it is
+    /// leaving, a healthy response without the statement to a later probe is that of a new instance under the same id.
     bool applyProbe(const TargetProbe &probe, const std::string &service, const std::string &address,
                     TimePoint sentAt = {});
 
@@ -79,10 +93,25 @@
     const std::optional<TrackedTarget> &current() const;
 
 private:
-    bool isOlder(const TargetHeartbeat &heartbeat) const;
+    /// A start of a target that may have replaced the current one.
+    struct Rival {
+        TargetHeartbeat reported;
+        TimePoint firstHeartbeatAt;
+    };
+
+    bool isLaterStart(const TargetHeartbeat &heartbeat) const;
+    HeartbeatOutcome applyToCurrent(const TargetHeartbeat &heartbeat);
+    HeartbeatOutcome applyToRival(const TargetHeartbeat &heartbeat, TimePoint now);
+    TargetHeartbeat *findEnded(const TargetHeartbeat &heartbeat);
+    void setCurrent(TargetHeartbeat reported);
+    bool takeWithdrawal(const std::string &id);
     bool showsRestart(const TargetProbe &probe, TimePoint sentAt) const;
 
     std::optional<TrackedTarget> m_current;
+    std::optional<Rival> m_rival;
+    std::deque<TargetHeartbeat> m_ended; // starts that were replaced, as last reported; the newest is the last
+    std::deque<std::string> m_withdrawn; // ids that are leaving, but were not those of a known target
+    bool m_leavingUnconfirmed = false; // whether only a rival with the same id or an earlier withdrawal told it
     std::uint64_t m_instances = 0;
     // When the current instance stated that it is leaving; none if it has announced that, or if its start time is
     // known, by which heartbeats tell a new instance.
--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -464,11 +464,13 @@
     AnnouncementResult announce(const TargetHeartbeat &heartbeat)
     {
         const auto before = targetTracker.current();
-        const AnnouncementResult result = heartbeats.take(heartbeat, &targetTracker, clock.now());
-        if (result == AnnouncementResult::Accepted) {
-            applyPresence(before, heartbeat.remainingColdTime, false);
+        const HeartbeatEffect effect = heartbeats.take(heartbeat, &targetTracker, clock.now());
+        if (effect.changesTarget) {
+            applyPresence(before, effect.remainingColdTime, false);
+        } else if (effect.result == AnnouncementResult::Accepted) {
+            probeSoon();
         }
-        return result;
+        return effect.result;
     }
 
     /// Applies the known state of the target to its guard. The remaining cold time is current if it comes from a probe
--- a/src/daemon/heartbeatintake.cpp
+++ b/src/daemon/heartbeatintake.cpp
@@ -8,13 +8,13 @@
 namespace
 {
 
-/// Minimum time between log lines of one event, so that a program that writes many entries a second does not fill the
-/// log.
+/// Minimum time between log lines of one event, so that a program that writes
+/// many entries a second does not fill the log.
 constexpr Duration LogInterval = std::chrono::seconds(1);
 /// Maximum number of characters of a text from a heartbeat in a log line.
 constexpr std::size_t MaxLoggedText = 80;
 
-}
+} // namespace
 
 HeartbeatIntake::HeartbeatIntake(TargetIdentity target, EventLog &log, Metrics &metrics)
     : m_check(std::move(target))
@@ -23,18 +23,29 @@
 {
 }
 
-AnnouncementResult HeartbeatIntake::take(const TargetHeartbeat &heartbeat, TargetTracker *tracker, TimePoint now)
+HeartbeatEffect HeartbeatIntake::take(const TargetHeartbeat &heartbeat, TargetTracker *tracker, TimePoint now)
 {
     const HeartbeatVerdict verdict = m_check.check(heartbeat);
     if (verdict != HeartbeatVerdict::Accepted) {
         report("heartbeat-refused", toString(verdict), heartbeat, now);
-        return AnnouncementResult::Refused;
+        return {AnnouncementResult::Refused, false, std::nullopt};
     }
-    if (!tracker->applyHeartbeat(heartbeat)) {
+    const HeartbeatOutcome outcome = tracker->applyHeartbeat(heartbeat, now);
+    if (outcome == HeartbeatOutcome::Outdated) {
         report("heartbeat-stale", "outdated", heartbeat, now);
-        return AnnouncementResult::Stale;
+        return {AnnouncementResult::Stale, false, std::nullopt};
+    }
+    if (outcome == HeartbeatOutcome::Applied) {
+        return {AnnouncementResult::Accepted, true, heartbeat.remainingColdTime};
     }
-    return AnnouncementResult::Accepted;
+    report("heartbeat-unconfirmed", "unconfirmed", heartbeat, now);
+    HeartbeatEffect out;
+    out.changesTarget = tracker->current()->reported.id == heartbeat.id;
+    // Until a restart under the same id is confirmed, the target counts as cold if either start is.
+    if (out.changesTarget && heartbeat.remainingColdTime > Duration::zero()) {
+        out.remainingColdTime = heartbeat.remainingColdTime;
+    }
+    return out;
 }
 
 void HeartbeatIntake::report(const char *event, const char *reason, const TargetHeartbeat &heartbeat, TimePoint now)
@@ -59,4 +70,4 @@
                     .add("leaving", std::uint64_t(heartbeat.leaving ? 1 : 0)));
 }
 
-}
+} // namespace shallotrelay
--- a/src/daemon/heartbeatintake.h
+++ b/src/daemon/heartbeatintake.h
@@ -1,5 +1,5 @@
-/// Checks the heartbeats that arrive at a node, applies them to the tracked target, and logs and counts those that are
-/// not believed.
+/// Checks the heartbeats that arrive at a node, applies them to the tracked
+/// target, and logs and counts those that are not believed.
 ///
 /// Use it wherever a node receives heartbeats.
 #pragma once
@@ -10,6 +10,7 @@
 #include "shallotrelay/membership/targettracker.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace shallotrelay
@@ -17,20 +18,27 @@
 
 /// The result of a heartbeat.
 enum class AnnouncementResult {
-    Accepted, ///< It takes effect.
+    Accepted, ///< It takes effect, now or when its target is confirmed.
     Stale, ///< Ignored: it is older than the latest known state of its target.
     Refused, ///< Ignored: it cannot be that of the target beside the node.
 };
 
+/// What follows from a heartbeat.
+struct HeartbeatEffect {
+    AnnouncementResult result = AnnouncementResult::Accepted; ///< What to respond.
+    bool changesTarget = false; ///< Whether the current target is to be announced again; a probe is due otherwise.
+    std::optional<Duration> remainingColdTime; ///< Remaining time of its cold start, if the heartbeat tells it.
+};
+
 /// Takes in heartbeats. Use it from one event loop only.
 class HeartbeatIntake
 {
 public:
     HeartbeatIntake(TargetIdentity target, EventLog &log, Metrics &metrics);
 
-    /// Checks a heartbeat and applies it to the tracker. Logs at most one line a second for each reason for which
-    /// heartbeats are not applied.
-    AnnouncementResult take(const TargetHeartbeat &heartbeat, TargetTracker *tracker, TimePoint now);
+    /// Checks a heartbeat and applies it to the tracker. Logs at most one line a
+    /// second for each reason for which heartbeats are not applied.
+    HeartbeatEffect take(const TargetHeartbeat &heartbeat, TargetTracker *tracker, TimePoint now);
 
 private:
     void report(const char *event, const char *reason, const TargetHeartbeat &heartbeat, TimePoint now);
@@ -41,4 +49,4 @@
     std::map<std::string, TimePoint> m_nextLines; // earliest time of the next log line, by event
 };
 
-}
+} // namespace shallotrelay
--- a/tests/process/clusternodetest.cpp
+++ b/tests/process/clusternodetest.cpp
@@ -53,6 +53,22 @@
     CHECK(callerServices(harness.target.runsAfter(since)) == std::vector<std::string>{"redactie"});
 }
 
+// Guards against an acknowledged "draining" of a target whose clock was set back before its restart.
+TEST_CASE("Node sends nothing to a draining target that restarted under its ID with an earlier start time")
+{
+    const SystemClock clock;
+    ClusterNodeHarness harness;
+    REQUIRE(harness.announce({"i-1", "redactie", "ready", 9, 5000}) == 200);
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+        CHECK(harness.announce({"i-1", "redactie", "ready", sequence, 4400}) == 200);
+        harness.sendRequests(700ms);
+    }
+    REQUIRE(harness.announce({"i-1", "redactie", "draining", 4, 4400}) == 200);
+    const TimePoint acknowledged = clock.now();
+    harness.sendRequests(DrainTime + 1s);
+    CHECK(harness.target.runsAfter(acknowledged + DrainTime).empty());
+}
+
 // Guards against an entry without a start time that makes a draining target ready again.
 TEST_CASE("Node sends nothing to a draining target after a heartbeat without a start time")
 {
@@ -66,4 +82,12 @@
     CHECK(harness.target.runsAfter(acknowledged + DrainTime).empty());
 }
 
+TEST_CASE("Node does not acknowledge a heartbeat that it ignores as outdated")
+{
+    ClusterNodeHarness harness;
+    REQUIRE(harness.announce({"i-1", "redactie", "ready", 7, 5000}) == 200);
+    CHECK(harness.announce({"i-1", "redactie", "ready", 6, 5000}) == 409);
+    CHECK(harness.announce({"i-1", "redactie", "ready", 8, 5000}) == 200);
+}
+
 }
