Node: load beacons of a restarted node count although its clock was set back

If the clock was set back before a restart, all beacons of the new process were ignored by the other nodes, for good if the target kept its id, so they chose targets without its load and did not notice its crash ledger.

BeaconOrder (membership) accepts a smaller incarnation once the greater one has been silent for 2 s and for its own interval, and forgets targets after a minute: the map that it replaces kept an entry for each id ever seen.

--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -6,6 +6,7 @@
 #include "daemon/dispatcher.h"
 #include "net/beaconsocket.h"
 #include "shallotrelay/admission/requestageestimator.h"
+#include "shallotrelay/membership/beaconorder.h"
 #include "shallotrelay/membership/controlselector.h"
 #include "shallotrelay/membership/targettracker.h"
 #include "wire/frame.h"
@@ -182,7 +183,7 @@
     TimePoint nextProbe;
     TimePoint lastProbe;
     bool unreachable = false;
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> lastBeacons; // incarnation and sequence, by target
+    BeaconOrder beaconOrder;
     std::uint64_t beaconSequence = 0;
     BeaconSchedule beaconSchedule;
     std::shared_ptr<const std::vector<std::string>> peerList; // the list that peerAddresses was built from
@@ -621,12 +622,9 @@
 
     void handleBeacon(const LoadBeacon &beacon)
     {
-        auto &seen = lastBeacons[beacon.target];
-        const std::pair current(beacon.incarnation, beacon.sequence);
-        if (current <= seen) {
+        if (!beaconOrder.accept(beacon, clock.now())) {
             return;
         }
-        seen = current;
         services.recordLoadBeacon({ClusterFirm, beacon.service}, beacon.target, beacon.load,
                                   std::chrono::milliseconds(beacon.nextMs));
         if (beacon.crashDigest != containment.digest() && clock.now() >= nextLedgerFetch) {
@@ -722,6 +720,7 @@
             if (clock.now() >= nextExpiry) {
                 nextExpiry = clock.now() + LedgerExpiryInterval;
                 containment.expire();
+                beaconOrder.expire(clock.now());
             }
             if (stopping && clock.now() - stopStartedAt > NewRequestCutoff) {
                 frontend.rejectNewRequests();
