Adapter: refuses deeply nested bodies and impossible numbers of slots

Yes, for control VMs: an order of 2 MB of nested arrays is answered by no one, since copying and writing the parsed value overflows the stack; the operator sends it to the next control VM, which ends as well. For nodes no: an entry nested 15,000 levels deep, with a port or a number out of range, or that is no JSON was refused or read without harm; but entries with 4,294,967,295 slots and ones with a deeply nested further field were believed.

Tests: "Control process refuses deeply nested orders*" (with the program of the process ends at the first order), "Node refuses odd heartbeats sent a hundred times*" (there 200 instead of 400 for the two kinds above), and a property of the nesting.

--- a/tests/process/clusternodetest.cpp
+++ b/tests/process/clusternodetest.cpp
@@ -82,6 +82,49 @@
     CHECK(harness.target.runsAfter(acknowledged + DrainTime).empty());
 }
 
+// Guards against an odd entry among the heartbeats that ends the node or stops it from following its target.
+TEST_CASE("Node refuses odd heartbeats sent a hundred times and keeps serving and following its target")
+{
+    const SystemClock clock;
+    ClusterNodeHarness harness;
+    REQUIRE(harness.announce({"i-1", "redactie", "ready", 1, 5000}) == 200);
+    const auto entry = [&](const std::string &slots, const std::string &address, const std::string &more) {
+        return R"({"service":"redactie","zone":"a","version":"v","state":"ready","coldRemaining":"0ms","sequence":9,)"
+               R"("born":9999,"slots":)"
+               + slots + R"(,"address":")" + address + '"' + more + '}';
+    };
+    const std::string target = harness.target.address().text();
+    constexpr std::size_t Depth = 15000;
+    const std::string deep = std::string(Depth, '[') + std::string(Depth, ']');
+    const std::vector<std::string> odd = {entry("12", "127.0.0.1:65536", ""),
+                                          entry("12", "127.0.0.1:-1", ""),
+                                          entry("12", "127.0.0.1:99999999999999999999", ""),
+                                          entry("12", "127.0.0.1:0", ""),
+                                          entry("12", "", ""),
+                                          entry("18446744073709551616", target, ""),
+                                          entry("4294967295", target, ""),
+                                          entry("1e999", target, ""),
+                                          entry("-1", target, ""),
+                                          entry("12", target, R"(,"x":)" + deep),
+                                          entry("12", target, R"(,"sequence":99999999999999999999999)"),
+                                          entry("12", target, R"(,"born":1e400)"),
+                                          entry("12", target, R"(,"coldRemaining":"9999999999999999h")"),
+                                          deep,
+                                          "\xff\xfe{",
+                                          ""};
+    for (int i = 0; i < 100; ++i) {
+        for (const std::string &it : odd) {
+            REQUIRE(harness.announceRaw("i-odd", it) == 400);
+        }
+    }
+    CHECK(harness.announceRaw("i-odd", std::string(100 * 1024, ' ')) == 413);
+    CHECK(harness.node->running());
+    CHECK(harness.announce({"i-1", "redactie", "ready", 2, 5000}) == 200);
+    const TimePoint since = clock.now();
+    harness.sendRequests(500ms);
+    CHECK(harness.target.runsAfter(since).size() > 5);
+}
+
 TEST_CASE("Node does not acknowledge a heartbeat that it ignores as outdated")
 {
     ClusterNodeHarness harness;
--- a/tests/process/clustertest.cpp
+++ b/tests/process/clustertest.cpp
@@ -50,6 +50,27 @@
     CHECK(control.process->wait() == 0);
 }
 
+// Guards against an order whose nesting exhausts the stack or the memory of each control VM that reads it.
+TEST_CASE("Control process refuses deeply nested orders and orders with odd numbers and keeps running")
+{
+    SingleVoterControl control;
+    REQUIRE(control.callWithRetries("PUT", "/config", stateOf(2, 0)).status == 200);
+    constexpr std::size_t Depth = 1000 * 1000;
+    const std::string deep = std::string(Depth, '[') + std::string(Depth, ']');
+    std::string odd = stateOf(3, 2);
+    odd.back() = ',';
+    for (const std::string &body :
+         {deep, odd + "\"x\":" + deep + "}", std::string(3 * Depth, '['), odd + "\"version\":1e999}",
+          odd + "\"baseVersion\":-1}", std::string("{\"version\":18446744073709551616,\"baseVersion\":2}")}) {
+        CHECK(control.call("PUT", "/config", body).status == 400);
+        CHECK(control.call("PATCH", "/config", body).status == 400);
+    }
+    constexpr std::uint64_t MaxResidentBytes = 64 * 1024 * 1024;
+    CHECK(control.process->peakResidentBytes() < MaxResidentBytes);
+    CHECK(control.process->running());
+    CHECK(control.callWithRetries("PUT", "/config", stateOf(3, 2)).status == 200);
+}
+
 TEST_CASE("Control process exits with status 2 if trust is not set to unsigned")
 {
     // Operators do not sign their orders, so accepting them has to be enabled with --trust unsigned.
