Target connection: a failed write makes a response without a length incomplete

Cause: the request body and the response use one socket at once. The kernel reports a reset once, and the blocked write takes it; the read after it ends like one after a regular close. The exchange ignored the failed write, since a target may respond before it has read the body.

Change: the connection remembers that a write has failed, and the end of the connection then no longer ends a response without a length. At such an end it first lets the event loop complete the write that fails for the same reason. An early response whose sender closes regularly stays complete.

--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -1,5 +1,8 @@
 #include "net/targetconnection.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
@@ -46,6 +49,7 @@
     m_stream.expires_after(timeout);
     const auto [ec, n] = co_await asio::async_write(m_stream, asio::buffer(bytes), AsTuple);
     m_stream.expires_never();
+    m_writeFailed = m_writeFailed || ec;
     co_return toStatus(ec, "write to the target");
 }
 
@@ -117,6 +121,9 @@
             co_return toStatus(ec, "read the response body from the target");
         }
     }
+    if (m_parser->is_done() && m_parser->need_eof() && co_await writeHasFailed()) {
+        co_return absl::DataLossError("the connection failed before the end of a response without a length");
+    }
     co_return data;
 }
 
@@ -136,6 +143,15 @@
     co_return absl::OkStatus();
 }
 
+/// Returns whether a write has failed, also one that fails for the same reason as the read that has just ended.
+asio::awaitable<bool> TargetConnection::writeHasFailed()
+{
+    // The system reports a reset once, to the write or the read; the read then ends as after a regular close. Both
+    // operations complete in one pass of the event loop.
+    co_await asio::post(co_await asio::this_coro::executor, asio::use_awaitable);
+    co_return m_writeFailed;
+}
+
 bool TargetConnection::responseComplete() const
 {
     return m_parser && m_parser->is_done();
--- a/src/net/targetconnection.h
+++ b/src/net/targetconnection.h
@@ -39,7 +39,8 @@
     /// Reads the head of the response to a GET request; fails if that takes longer than the timeout.
     asio::awaitable<absl::StatusOr<ResponseHead>> readHeadWithin(Duration timeout);
 
-    /// Reads the next part of the body, which is empty at the end; fails after the timeout without progress.
+    /// Reads the next part of the body, which is empty at the end; fails after the timeout without progress. The end of
+    /// the connection ends a response without a length only if no write has failed.
     asio::awaitable<absl::StatusOr<std::string>> readBody(Duration timeout);
 
     /// Reads and discards the rest of the body; fails after the timeout without progress, or once more than the maximum
@@ -68,9 +69,12 @@
 private:
     using Parser = http::response_parser<http::buffer_body>;
 
+    asio::awaitable<bool> writeHasFailed();
+
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    bool m_writeFailed = false;
     std::shared_ptr<std::atomic<std::size_t>> m_openCount;
 };
 
--- a/tests/process/brokenresponsetest.cpp
+++ b/tests/process/brokenresponsetest.cpp
@@ -157,6 +157,65 @@
     Listener m_listener;
 };
 
+/// A target that responds without a length before it has read the request body, and then closes its side or resets the
+/// connection while the node is blocked in writing the body.
+class EarlyRespondingTarget
+{
+public:
+    EarlyRespondingTarget(Runtime &runtime, bool resets)
+        : m_resets(resets)
+        , m_listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
+            asio::co_spawn(loop, serve(std::move(socket)), asio::detached);
+        })
+    {
+        REQUIRE(m_listener.start(Address{"127.0.0.1", 0}).ok());
+    }
+
+    Address address() const
+    {
+        return m_listener.address();
+    }
+
+private:
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string buf(4096, '\0');
+        co_await socket.async_read_some(asio::buffer(buf), AsTuple);
+        const std::string part = "HTTP/1.1 200 OK\r\n\r\n" + std::string(20000, 'x');
+        co_await asio::async_write(socket, asio::buffer(part), AsTuple);
+        // Until then the buffers between the two are full.
+        co_await sleepFor(50ms);
+        boost::system::error_code ec;
+        if (m_resets) {
+            socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close(ec);
+            co_return;
+        }
+        socket.shutdown(tcp::socket::shutdown_send, ec);
+        while (!ec) {
+            std::tie(ec, std::ignore) = co_await socket.async_read_some(asio::buffer(buf), AsTuple);
+        }
+    }
+
+    bool m_resets;
+    Listener m_listener;
+};
+
+/// A request body that never ends.
+class EndlessBody : public BodySource
+{
+public:
+    asio::awaitable<absl::StatusOr<std::string>> read() override
+    {
+        co_return std::string(BodyChunkBytes, 'b');
+    }
+
+    bool atEnd() const override
+    {
+        return false;
+    }
+};
+
 /// Records the body of a response.
 class RecordingSink : public DiscardingSink
 {
@@ -202,6 +261,56 @@
     }
 }
 
+// Guards against a reset that the kernel reports to the blocked write alone: the read after it looks like a regular
+// end.
+TEST_CASE("A response without a length is incomplete after a reset during the request body but not after a close")
+{
+    for (const bool resets : {true, false}) {
+        GuardedTargetHarness<EarlyRespondingTarget> guarded(100, resets);
+        for (int i = 0; i < 10; ++i) {
+            auto upload = [&]() -> asio::awaitable<ExchangeResult> {
+                RequestHead head;
+                head.requestId = "r";
+                head.method = "POST";
+                head.path = "/";
+                head.bodyKind = BodyKind::Streamed;
+                head.mayQueue = true;
+                EndlessBody body;
+                DiscardingSink sink;
+                ExchangeProgress progress;
+                co_return co_await guarded.guarded->run(head, body, sink, progress, guarded.clock.now() + 5s);
+            };
+            const ExchangeResult result = asio::co_spawn(guarded.runtime.shard(0), upload(), asio::use_future).get();
+            CAPTURE(resets, i);
+            CHECK(result.whole == !resets);
+        }
+    }
+}
+
+// Guards against a head that ends early and reaches the caller as a complete response with a short body.
+TEST_CASE("A response truncated at any byte of its head is not passed on")
+{
+    const std::vector<std::string> heads = {
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nServer: x\r\nContent-Length: 1000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nServer: x\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.0 200 OK\nServer: x\n\n",
+    };
+    for (const std::string &it : heads) {
+        for (const bool resets : {false, true}) {
+            GuardedTargetHarness<TruncatingTarget> guarded(100, it, resets);
+            for (std::size_t n = 0; n < it.size(); n += resets ? 5 : 1) {
+                guarded.target.bytes = n;
+                const ExchangeResult result = guarded.get();
+                CAPTURE(it, n, resets);
+                CHECK_FALSE(result.whole);
+                CHECK(result.status == 502);
+            }
+        }
+    }
+}
+
 TEST_CASE("A late duplicate response on a reused connection is not used as the response to the next request")
 {
     for (const int copies : {1, 2}) {
