Guarded target: a repeated rejection on a kept connection proves nothing

RejectionProof (retry) decides: on a kept connection a rejection must state the id of the request, and the request must not have been rejected on that connection before. Anything else is an invalid response: whether the request ran is unknown, and the connection is closed.

--- a/src/net/guardedtarget.cpp
+++ b/src/net/guardedtarget.cpp
@@ -298,6 +298,7 @@
             co_return;
         }
         TargetConnection &target = **connection;
+        target.rejections.beginExchange();
         std::string host;
         {
             const std::lock_guard lock(m_impl->mutex);
@@ -598,6 +599,7 @@
             co_return unreachable(slot, connection.status());
         }
         TargetConnection &target = slot.attachConnection(*std::move(connection));
+        target.rejections.beginExchange();
         m_progress.execution = Execution::Unknown;
         m_result.reachedTarget = true;
         m_startNumber = startNumber();
@@ -706,10 +708,11 @@
             if (check.kind == ResponseCheck::Kind::Response || check.kind == ResponseCheck::Kind::Rejected) {
                 m_impl.applyStatement(check.statement, StatementSource::Response, m_startNumber);
             }
-            if (check.kind == ResponseCheck::Kind::Invalid) {
+            m_rejected = check.kind == ResponseCheck::Kind::Rejected;
+            const bool unproven = m_rejected && !connection.rejections.isProven(head->requestId, m_head.requestId);
+            if (check.kind == ResponseCheck::Kind::Invalid || unproven) {
                 co_return absl::DataLossError("the target sent an invalid response to the request");
             }
-            m_rejected = check.kind == ResponseCheck::Kind::Rejected;
             if (check.kind != ResponseCheck::Kind::OtherRequest) {
                 co_return head;
             }
@@ -726,6 +729,7 @@
     {
         constexpr std::uint16_t ServiceUnavailable = 503;
         slot.failed();
+        connection.rejections.recordRejection(m_head.requestId);
         m_progress.execution = Execution::NotRun;
         m_impl.noteRunEnd(m_ticket);
         m_result.execution = Execution::NotRun;
--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -170,7 +170,7 @@
 
 bool TargetConnection::reusable() const
 {
-    return responseComplete() && m_parser->keep_alive() && m_buffer.size() == 0;
+    return responseComplete() && m_parser->keep_alive() && m_buffer.size() == 0 && rejections.mayBeKept();
 }
 
 bool TargetConnection::stale()
--- a/src/net/targetconnection.h
+++ b/src/net/targetconnection.h
@@ -4,6 +4,7 @@
 #include "net/exchange.h"
 #include "net/httpfields.h"
 #include "net/neterror.h"
+#include "shallotrelay/retry/rejectionproof.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -66,6 +67,9 @@
     /// timeout expires.
     asio::awaitable<void> cancelAndWait(Duration timeout);
 
+    /// The rejections that the target has sent on this connection.
+    RejectionProof rejections;
+
 private:
     using Parser = http::response_parser<http::buffer_body>;
 
--- a/tests/process/brokenresponsetest.cpp
+++ b/tests/process/brokenresponsetest.cpp
@@ -116,6 +116,77 @@
     Listener m_listener;
 };
 
+/// A target that rejects every other request, and repeats its last rejection on the connection before it runs the next
+/// request.
+class RepeatedlyRejectingTarget
+{
+public:
+    RepeatedlyRejectingTarget(Runtime &runtime, bool statesId, Duration repeatDelay)
+        : m_statesId(statesId)
+        , m_repeatDelay(repeatDelay)
+        , m_listener(runtime, [this](asio::io_context &loop, tcp::socket socket) {
+            asio::co_spawn(loop, serve(std::move(socket)), asio::detached);
+        })
+    {
+        REQUIRE(m_listener.start(Address{"127.0.0.1", 0}).ok());
+    }
+
+    static void configure(GuardedTargetOptions *options)
+    {
+        options->checkResponse = [](const RequestHead &request, const ResponseHead &head) {
+            ResponseCheck out;
+            const bool rejected = head.status == 503;
+            const bool other = !head.requestId.empty() && head.requestId != request.requestId;
+            out.kind = other      ? ResponseCheck::Kind::OtherRequest
+                       : rejected ? ResponseCheck::Kind::Rejected
+                                  : ResponseCheck::Kind::Response;
+            return out;
+        };
+    }
+
+    Address address() const
+    {
+        return m_listener.address();
+    }
+
+    std::atomic<int> requests = 0;
+    std::atomic<int> runs = 0;
+
+private:
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string rejection;
+        for (;;) {
+            std::string buf(4096, '\0');
+            const auto [ec, n] = co_await socket.async_read_some(asio::buffer(buf), AsTuple);
+            if (ec) {
+                co_return;
+            }
+            const std::string name = std::string(RequestIdHeader) + ": ";
+            const std::size_t at = buf.find(name) + name.size();
+            const std::string id = buf.substr(at, buf.find('\r', at) - at);
+            if (requests++ % 2 == 0) {
+                rejection = "HTTP/1.1 503 x\r\n" + (m_statesId ? name + id + "\r\n" : std::string())
+                            + "Content-Length: 0\r\n\r\n";
+                co_await asio::async_write(socket, asio::buffer(rejection), AsTuple);
+                if (m_repeatDelay > Duration::zero()) {
+                    co_await sleepFor(m_repeatDelay);
+                    co_await asio::async_write(socket, asio::buffer(std::exchange(rejection, {})), AsTuple);
+                }
+                continue;
+            }
+            ++runs;
+            co_await asio::async_write(socket, asio::buffer(std::exchange(rejection, {})), AsTuple);
+            co_await sleepFor(5ms);
+            co_await asio::async_write(socket, asio::buffer(response(id, "ok")), AsTuple);
+        }
+    }
+
+    bool m_statesId;
+    Duration m_repeatDelay;
+    Listener m_listener;
+};
+
 /// A target that accepts requests and never responds.
 class UnresponsiveTarget
 {
@@ -336,6 +407,58 @@
     }
 }
 
+// Guards against a rejection that the target repeats on a kept connection: callers were told that a request that ran
+// has not run.
+TEST_CASE("A repeated rejection on a kept connection does not report a request that the target runs as not run")
+{
+    struct Case {
+        bool statesId = false;
+        bool sameRequestId = false;
+        Duration repeatDelay{};
+        bool repeatable = false;
+    };
+    std::vector<Case> cases;
+    for (const bool statesId : {false, true}) {
+        for (const bool sameRequestId : {false, true}) {
+            for (const Duration repeatDelay : {Duration::zero(), Duration(2ms)}) {
+                for (const bool repeatable : {false, true}) {
+                    cases.push_back({statesId, sameRequestId, repeatDelay, repeatable});
+                }
+            }
+        }
+    }
+    for (const Case &it : cases) {
+        GuardedTargetHarness<RepeatedlyRejectingTarget> guarded(4, it.statesId, it.repeatDelay);
+        int reportedRuns = 0;
+        for (int i = 0; i < 20; ++i) {
+            const int runsBefore = guarded.target.runs;
+            auto one = [&]() -> asio::awaitable<ExchangeResult> {
+                RequestHead head;
+                head.requestId = "id" + std::to_string(it.sameRequestId ? i / 2 : i);
+                head.method = it.repeatable ? "GET" : "POST";
+                head.path = "/";
+                head.repeatable = it.repeatable;
+                head.mayQueue = true;
+                EmptyBody body;
+                DiscardingSink sink;
+                ExchangeProgress progress;
+                co_return co_await guarded.guarded->run(head, body, sink, progress, guarded.clock.now() + 5s);
+            };
+            const ExchangeResult result = asio::co_spawn(guarded.runtime.shard(0), one(), asio::use_future).get();
+            const bool ran = guarded.target.runs > runsBefore;
+            CAPTURE(it.statesId, it.sameRequestId, it.repeatDelay.count(), it.repeatable, i);
+            CHECK((!ran || result.execution != Execution::NotRun));
+            reportedRuns += result.execution == Execution::Ran ? 1 : 0;
+            if (!it.repeatable) {
+                // Such a request is sent on a connection of its own.
+                CHECK(result.execution == (ran ? Execution::Ran : Execution::NotRun));
+            }
+            std::this_thread::sleep_for(it.repeatDelay * (i % 3));
+        }
+        CHECK((it.repeatable || reportedRuns == 10));
+    }
+}
+
 TEST_CASE("An unresponsive target gets a higher failure rate and its connections are closed and not reused")
 {
     GuardedTargetHarness<UnresponsiveTarget> guarded(4);
