Tests: results of properties count, and the property of stated limits judges whole windows

A run of all decision tests with a random seed printed a counterexample of "starts within stated limits" and passed all the same: five tests called rc::check() and dropped its result (containmenttest, platformwiretest, replicatest, retrybudgettest, statedlimittest). They now check it.

The counterexample (one phase of 100 ms at 35.7 requests per second, then the end of the replay) was one of the check, not of the guard: the rule is about any 4 s, and the last windows were cut off at the end of the replay, so 17 starts in 100 ms were compared with the allowance of 100 ms. The replay now goes on for 4 s without offers, so that every window in which a phase begins is whole; nothing is left out.

--- a/tests/unit/containmenttest.cpp
+++ b/tests/unit/containmenttest.cpp
@@ -136,7 +136,7 @@
 
 TEST_CASE("Crash ledgers that nodes merge in any order and repeatedly become equal")
 {
-    rc::check("agree", [] {
+    CHECK(rc::check("agree", [] {
         std::vector<Node> nodes(3);
         std::vector<CrashNotice> crashes;
         std::vector<CleanRunNotice> cleanRuns;
@@ -174,7 +174,7 @@
             }
         }
         RC_ASSERT(!nodes[0].ledger.merge(nodes[1].ledger.state(now), now));
-    });
+    }));
 }
 
 TEST_CASE("A restarted node knows the contained requests after it merges the ledger of one other node")
--- a/tests/unit/platformwiretest.cpp
+++ b/tests/unit/platformwiretest.cpp
@@ -280,7 +280,7 @@
 
 TEST_CASE("State parser accepts a state with a mutated byte only if its routes are valid")
 {
-    rc::check("a mutated state is rejected or has valid routes", [] {
+    CHECK(rc::check("a mutated state is rejected or has valid routes", [] {
         std::string text = sampleState(7).dump();
         const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
         text[at] = static_cast<char>(*rc::gen::inRange(0, 256));
@@ -288,7 +288,7 @@
         if (bundle.ok()) {
             RC_ASSERT(checkRoutes(*bundle).ok());
         }
-    });
+    }));
 }
 
 }
--- a/tests/unit/replicatest.cpp
+++ b/tests/unit/replicatest.cpp
@@ -671,7 +671,7 @@
 
 TEST_CASE("Replicas never commit conflicting entries under crashes and disk loss and partitions and message loss")
 {
-    rc::check("safety under faults", [] {
+    CHECK(rc::check("safety under faults", [] {
         const auto seed = *rc::gen::arbitrary<std::uint64_t>();
         Cluster cluster(3 + seed % 3, seed);
         Random random(seed + 1);
@@ -710,7 +710,7 @@
             }
         }
         RC_ASSERT(cluster.safe);
-    });
+    }));
 }
 
 }
--- a/tests/unit/retrybudgettest.cpp
+++ b/tests/unit/retrybudgettest.cpp
@@ -88,7 +88,7 @@
 
 TEST_CASE("Shared retry budget holds at any request rate when nodes make all permitted retries")
 {
-    rc::check("retries within the shared budget", [] {
+    CHECK(rc::check("retries within the shared budget", [] {
         const auto nodes = *rc::gen::inRange<std::size_t>(4, 20);
         Fleet fleet(nodes);
         for (int phase = 0; phase < 6; ++phase) {
@@ -99,12 +99,12 @@
                 RC_ASSERT(fleet.excess() <= 0);
             }
         }
-    });
+    }));
 }
 
 TEST_CASE("Call plan never sends a request to more targets than its route allows")
 {
-    rc::check("at most maxTargets", [] {
+    CHECK(rc::check("at most maxTargets", [] {
         ServiceRouter router(RouterOptions{});
         std::vector<RouterTarget> targets;
         for (int i = 0; i < 8; ++i) {
@@ -148,7 +148,7 @@
             planned = plan.next(router, budget, random, at(2ms));
         }
         RC_ASSERT(reached.size() <= rules.maxTargets);
-    });
+    }));
 }
 
 }
--- a/tests/unit/statedlimittest.cpp
+++ b/tests/unit/statedlimittest.cpp
@@ -183,7 +183,7 @@
 
 TEST_CASE("Starts stay within generated sequences of limits and pauses and bursts")
 {
-    rc::check("starts within stated limits", [] {
+    CHECK(rc::check("starts within stated limits", [] {
         std::vector<Phase> phases = {{200ms, 1e6, 1}};
         const int count = *rc::gen::inRange(1, 12);
         for (int i = 0; i < count; ++i) {
@@ -196,10 +196,12 @@
         // The guard learns of a lower limit with the next response, so the burst of one latency is tolerated.
         std::stable_sort(phases.begin() + 1, phases.end(),
                          [](const Phase &a, const Phase &b) { return *a.limit < *b.limit; });
+        // The rule holds for whole windows, so the last phase is followed by a window without offers.
+        phases.push_back({4s, phases.back().limit, 0});
         LimitReplay replay(true);
         replay.run(phases);
         RC_ASSERT(!replay.exceedsLimit());
-    });
+    }));
 }
 
 TEST_CASE("A stated limit that falls to a tenth applies to the next start")
