--- a/src/daemon/heartbeatintake.cpp
+++ b/src/daemon/heartbeatintake.cpp
@@ -8,13 +8,13 @@
 namespace
 {
 
-/// Minimum time between log lines of one event, so that a program that writes
-/// many entries a second does not fill the log.
+/// Minimum time between log lines of one event, so that a program that writes many entries a second does not fill the
+/// log.
 constexpr Duration LogInterval = std::chrono::seconds(1);
 /// Maximum number of characters of a text from a heartbeat in a log line.
 constexpr std::size_t MaxLoggedText = 80;
 
-} // namespace
+}
 
 HeartbeatIntake::HeartbeatIntake(TargetIdentity target, EventLog &log, Metrics &metrics)
     : m_check(std::move(target))
@@ -70,4 +70,4 @@
                     .add("leaving", std::uint64_t(heartbeat.leaving ? 1 : 0)));
 }
 
-} // namespace shallotrelay
+}
--- a/src/daemon/heartbeatintake.h
+++ b/src/daemon/heartbeatintake.h
@@ -1,5 +1,5 @@
-/// Checks the heartbeats that arrive at a node, applies them to the tracked
-/// target, and logs and counts those that are not believed.
+/// Checks the heartbeats that arrive at a node, applies them to the tracked target, and logs and counts those that are
+/// not believed.
 ///
 /// Use it wherever a node receives heartbeats.
 #pragma once
@@ -36,8 +36,8 @@
 public:
     HeartbeatIntake(TargetIdentity target, EventLog &log, Metrics &metrics);
 
-    /// Checks a heartbeat and applies it to the tracker. Logs at most one line a
-    /// second for each reason for which heartbeats are not applied.
+    /// Checks a heartbeat and applies it to the tracker. Logs at most one line a second of each event that says that
+    /// heartbeats are not applied.
     HeartbeatEffect take(const TargetHeartbeat &heartbeat, TargetTracker *tracker, TimePoint now);
 
 private:
@@ -49,4 +49,4 @@
     std::map<std::string, TimePoint> m_nextLines; // earliest time of the next log line, by event
 };
 
-} // namespace shallotrelay
+}
