--- a/tests/unit/targettrackertest.cpp
+++ b/tests/unit/targettrackertest.cpp
@@ -268,6 +268,17 @@
     CHECK_FALSE(restarted.current()->reported.leaving);
 }
 
+// Guards against an acknowledged withdrawal that a heartbeat sent before it undoes.
+TEST_CASE("A late heartbeat does not lift the withdrawal of a target that a probe found")
+{
+    TargetTracker tracker;
+    tracker.markLeaving("a");
+    tracker.applyProbe(probeOf("a"), "redactie", TargetAddress, at(1s));
+    REQUIRE(tracker.current()->reported.leaving);
+    tracker.applyHeartbeat(heartbeatOf("a", 5000, 7), at(2s));
+    CHECK(tracker.current()->reported.leaving);
+}
+
 TEST_CASE("A late heartbeat that says that the target is leaving takes effect")
 {
     TargetTracker tracker;
