--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -4,6 +4,7 @@
 #include "daemon/containment.h"
 #include "daemon/controllink.h"
 #include "daemon/dispatcher.h"
+#include "daemon/originlog.h"
 #include "net/beaconsocket.h"
 #include "shallotrelay/admission/requestageestimator.h"
 #include "shallotrelay/membership/beaconorder.h"
@@ -151,6 +152,7 @@
         , metricsServer(runtime, MaxMetricsBytes, [this](HttpRequest request) { return serve(std::move(request)); })
         , controlSelector(seedAddresses())
         , heartbeats({options.service, options.target.text()}, log, metrics)
+        , origins(log, metrics)
         , probeTimer(runtime.shard(0))
         , startedAt(clock.now())
     {
@@ -179,6 +181,7 @@
     std::string primaryControl;
     TargetTracker targetTracker;
     HeartbeatIntake heartbeats;
+    OriginLog origins;
     asio::steady_timer probeTimer;
     TimePoint nextProbe;
     TimePoint lastProbe;
@@ -237,6 +240,9 @@
         GuardedTargetOptions out;
         out.checkResponse = hooks.checkResponse;
         out.targetFields = hooks.targetFields;
+        out.onRequestSent = [this](const RequestHead &request) {
+            origins.recordSent(request, isServiceKnown(request.callerService), clock.now());
+        };
         out.onTargetFault = [this](TargetFault fault) { handleTargetFault(fault); };
         out.slowdownPath = [this] { return healthPath(); };
         out.slowdownProbesPerSecond = options.probesPerSecond * SlowdownProbeShare;
@@ -292,7 +298,9 @@
         head.repeatable = route->repeatable();
         head.callerService = targetService();
         head.idempotencyKey.clear();
+        const std::size_t receivedFields = head.headers.size();
         hooks.removeReservedFields(&head.headers);
+        origins.recordRead(head, receivedFields - head.headers.size());
         if (route->objective > Duration::zero()) {
             const Duration age = requestAges[route->name].estimateAge(request->deadline - now);
             request->objective = now + route->objective - age;
@@ -554,6 +562,13 @@
         return options.service.empty() && target ? target->reported.service : options.service;
     }
 
+    /// Returns whether the state of the operators or the platform names a service.
+    bool isServiceKnown(const std::string &service) const
+    {
+        const auto bundle = services.bundleOf(ClusterFirm);
+        return service == options.service || (bundle && bundle->bundle.findService(service) != nullptr);
+    }
+
     std::string healthPath() const
     {
         const auto bundle = services.bundleOf(ClusterFirm);
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -497,6 +497,7 @@
         line.add("route", m_request.head.route).add("target", target);
         line.add("status", std::uint64_t(result.status)).add("tries", std::uint64_t(m_plan.attemptCount()));
         line.add("ms", toMilliseconds(now() - startedAt)).add("head_ms", toMilliseconds(result.headLatency));
+        line.add("caller_service", m_request.head.callerService);
         m_dispatcher.m_log.write(LogLevel::Info, "answer", line);
     }
 
--- a/src/daemon/localtargets.cpp
+++ b/src/daemon/localtargets.cpp
@@ -102,7 +102,13 @@
                 m_options.onTargetLeaving(name);
             }
         };
-        options.onRequestSent = [log = entry.statements](const RequestHead &request) { log->recordRequest(request); };
+        options.onRequestSent
+            = [log = entry.statements, next = std::move(options.onRequestSent)](const RequestHead &request) {
+                  log->recordRequest(request);
+                  if (next) {
+                      next(request);
+                  }
+              };
         options.onCrash = [this, name = announcement.name](const Crash &crash) { reportCrash(name, crash); };
         entry.guarded = std::make_shared<GuardedTarget>(options);
         const ClaimOwner self{m_options.peerAddress, announcement.name, m_options.incarnation};
