--- a/tests/process/clusternodetest.cpp
+++ b/tests/process/clusternodetest.cpp
@@ -53,6 +53,33 @@
     CHECK(callerServices(harness.target.runsAfter(since)) == std::set<std::string>{"redactie"});
 }
 
+// Guards against an address that is used again: a target of another service must not run requests to the former one.
+TEST_CASE("Target of another service that comes up at the address of a target runs no requests")
+{
+    const SystemClock clock;
+    ClusterNodeHarness harness;
+    REQUIRE(harness.announce({"i-1", "redactie", "ready", 1, 1000}) == 200);
+    const TimePoint since = clock.now();
+    harness.target.setState("i-9", true);
+    harness.sendRequests(1500ms);
+    CHECK(harness.announce({"i-9", "arhiva", "ready", 1, 2000}) == 400);
+    harness.sendRequests(1500ms);
+    CHECK(harness.target.runsAfter(since).empty());
+    harness.target.setState("i-2", true);
+    REQUIRE(eventually([&] { return harness.announce({"i-2", "redactie", "ready", 1, 3000}) == 200; }));
+    CHECK(eventually([&] { return harness.request().rfind("HTTP/1.1 200", 0) == 0; }));
+}
+
+TEST_CASE("Target that a starting node found runs no more requests once it names another service")
+{
+    const SystemClock clock;
+    ClusterNodeHarness harness;
+    REQUIRE(harness.announce({"i-1", "arhiva", "ready", 1, 1000}) == 400);
+    const TimePoint since = clock.now();
+    harness.sendRequests(1500ms);
+    CHECK(harness.target.runsAfter(since).empty());
+}
+
 // Guards against an acknowledged "draining" of a target whose clock was set back before its restart.
 TEST_CASE("Node sends nothing to a draining target that restarted under its ID with an earlier start time")
 {
