Node: a target found by a probe gets no requests before its service is known

What targets saw: a target of another service that came up at the address of a target that had ended got the requests to the service of the VM, hundreds in a few seconds.

Cause: a probe of the address tells an id and no service, and the node took the instance for one of its own service, although its heartbeats, refused since, named another one.

Change: ServiceClaims (membership). An instance that comes up while the node runs gets requests once one of its heartbeats has named the service of the VM. The settings are read at the start, so they vouch for the instance that the first probe finds, until it names another service. Why this works: only heartbeats and settings name a service, and each instance is judged by the one that holds for it.

Tests: one test of the origin now lets the new target send a heartbeat, as targets do; it is as strict on the origin.

--- a/src/daemon/clusternode.cpp
+++ b/src/daemon/clusternode.cpp
@@ -504,7 +504,8 @@
         out.name = now.reported.id;
         out.address = parseAddress(now.reported.address).value_or(options.target);
         out.target.bootId = std::to_string(now.start);
-        const bool acceptsRequests = !now.reported.leaving && !targetLeaving && targetTracker.isConfirmed();
+        const bool acceptsRequests = !now.reported.leaving && !targetLeaving && targetTracker.isConfirmed()
+                                     && heartbeats.claims().mayServe(now.reported.id);
         out.target.state = acceptsRequests ? TargetState::Ready : TargetState::Leaving;
         out.target.slots = now.reported.slots;
         // While the target is unreachable, a heartbeat may be outdated, so only a probe can show that it is warm.
@@ -603,6 +604,7 @@
 
     void handleProbe(const absl::StatusOr<TargetProbe> &probe)
     {
+        heartbeats.claims().recordProbe(probe.ok() ? probe->id : "");
         if (!probe.ok()) {
             if (const auto guarded = guardedTarget(); guarded && isConnectionRefused(probe.status())) {
                 guarded->evaluateCrashEvidence(CrashEvidence::NothingListens);
@@ -624,6 +626,7 @@
             log.write(LogLevel::Info, "target-found",
                       LogFields()
                           .add("target", probe->id)
+                          .add("may_serve", std::uint64_t(heartbeats.claims().mayServe(probe->id) ? 1 : 0))
                           .add("cold_ms", probe->remainingColdTime ? toMilliseconds(*probe->remainingColdTime) : -1.0));
         }
         applyPresence(before, probe->remainingColdTime, lastProbe > intentApplied);
--- a/src/daemon/heartbeatintake.cpp
+++ b/src/daemon/heartbeatintake.cpp
@@ -26,9 +26,11 @@
 HeartbeatEffect HeartbeatIntake::take(const TargetHeartbeat &heartbeat, TargetTracker *tracker, TimePoint now)
 {
     const HeartbeatVerdict verdict = m_check.check(heartbeat);
+    m_claims.record(heartbeat, verdict);
     if (verdict != HeartbeatVerdict::Accepted) {
         report("heartbeat-refused", toString(verdict), heartbeat, now);
-        return {AnnouncementResult::Refused, false, std::nullopt};
+        const bool isCurrent = tracker->current() && tracker->current()->reported.id == heartbeat.id;
+        return {AnnouncementResult::Refused, isCurrent, std::nullopt};
     }
     const HeartbeatOutcome outcome = tracker->applyHeartbeat(heartbeat, now);
     if (outcome == HeartbeatOutcome::Outdated) {
@@ -48,6 +50,11 @@
     return out;
 }
 
+ServiceClaims &HeartbeatIntake::claims()
+{
+    return m_claims;
+}
+
 void HeartbeatIntake::report(const char *event, const char *reason, const TargetHeartbeat &heartbeat, TimePoint now)
 {
     m_metrics
--- a/src/daemon/heartbeatintake.h
+++ b/src/daemon/heartbeatintake.h
@@ -7,6 +7,7 @@
 #include "daemon/eventlog.h"
 #include "daemon/metrics.h"
 #include "shallotrelay/membership/heartbeatcheck.h"
+#include "shallotrelay/membership/serviceclaims.h"
 #include "shallotrelay/membership/targettracker.h"
 
 #include <map>
@@ -40,10 +41,14 @@
     /// heartbeats are not applied.
     HeartbeatEffect take(const TargetHeartbeat &heartbeat, TargetTracker *tracker, TimePoint now);
 
+    /// Returns what is known of the service of the instances at the target's address.
+    ServiceClaims &claims();
+
 private:
     void report(const char *event, const char *reason, const TargetHeartbeat &heartbeat, TimePoint now);
 
     HeartbeatCheck m_check;
+    ServiceClaims m_claims;
     EventLog &m_log;
     Metrics &m_metrics;
     std::map<std::string, TimePoint> m_nextLines; // earliest time of the next log line, by event
--- a/tests/process/clusternodeharness.h
+++ b/tests/process/clusternodeharness.h
@@ -30,7 +30,7 @@
 
     Address address() const;
 
-    /// Sets the id that the target states in probes, and whether it is healthy.
+    /// Sets the id that the target states in probes, and whether it is healthy. Without an id it responds to nothing.
     void setState(const std::string &id, bool healthy);
 
     /// Returns the requests that the target ran after a time.
@@ -64,6 +64,9 @@
     /// Starts the processes and waits until the node serves a request; fails the test otherwise.
     ClusterNodeHarness();
 
+    /// Kills the node and starts it again.
+    void restartNode();
+
     /// Sends a heartbeat to the node and returns the status of the response.
     std::uint16_t announce(const HeartbeatFields &fields) const;
 
@@ -85,6 +88,7 @@
 private:
     SingleVoterControl m_control;
     TemporaryDirectory m_folder;
+    std::vector<std::string> m_arguments;
     Address m_callers;
     Address m_announcements;
 };
--- a/tests/process/clusternodetest.cpp
+++ b/tests/process/clusternodetest.cpp
@@ -47,6 +47,7 @@
     CHECK(harness.announce({"i-old", "arhiva", "ready", 40, 1000}) == 400);
     const SystemClock clock;
     std::this_thread::sleep_for(1500ms);
+    REQUIRE(harness.announce({"i-2", "redactie", "ready", 1, 2000}) == 200);
     const TimePoint since = clock.now();
     harness.sendRequests(500ms);
     CHECK(harness.target.runsAfter(since).size() > 5);
@@ -80,6 +81,18 @@
     CHECK(harness.target.runsAfter(since).empty());
 }
 
+TEST_CASE("Target of another service that comes up after the start of the node runs no requests")
+{
+    const SystemClock clock;
+    ClusterNodeHarness harness;
+    harness.target.setState("", true);
+    harness.restartNode();
+    std::this_thread::sleep_for(1s);
+    harness.target.setState("i-9", true);
+    harness.sendRequests(1500ms);
+    CHECK(harness.target.runsAfter(TimePoint{}).size() == 1);
+}
+
 // Guards against an acknowledged "draining" of a target whose clock was set back before its restart.
 TEST_CASE("Node sends nothing to a draining target that restarted under its ID with an earlier start time")
 {
