Adapter: an entry without a zone or a version is no heartbeat

A heartbeat of another writer may lack fields or have fields of another type, and names no target to use then. The adapter checked only the fields that the node uses, so an entry with a later start time and without a zone took the place of the target until the next probe.

--- a/tests/unit/platformwiretest.cpp
+++ b/tests/unit/platformwiretest.cpp
@@ -175,7 +175,7 @@
     CHECK(heartbeat->remainingColdTime == 1500ms);
     CHECK(heartbeat->startedAtMs == 1790000000000ULL);
     CHECK_FALSE(heartbeat->leaving);
-    for (const char *field : {"service", "address", "slots", "state", "sequence", "coldRemaining"}) {
+    for (const char *field : {"service", "address", "zone", "version", "slots", "state", "sequence", "coldRemaining"}) {
         nlohmann::json missing = good;
         missing.erase(field);
         CHECK_FALSE(parseHeartbeat("i-1", missing.dump()).ok());
