Target tracker: one heartbeat does not lift the withdrawal of a target that a probe found

A node that starts acknowledged a withdrawal, a probe found the target, and one heartbeat that was sent before the withdrawal made it ready again (DRAIN). Cause: the withdrawal of a target that is not known yet was lifted by the next heartbeat, whether one or none had come since. Now two heartbeats lift it in both cases.

--- a/include/shallotrelay/membership/targettracker.h
+++ b/include/shallotrelay/membership/targettracker.h
@@ -99,11 +99,17 @@
         TimePoint firstHeartbeatAt;
     };
 
+    /// What showed that an instance is the current one.
+    enum class Evidence {
+        Heartbeat,
+        Probe,
+    };
+
     bool isLaterStart(const TargetHeartbeat &heartbeat) const;
     HeartbeatOutcome applyToCurrent(const TargetHeartbeat &heartbeat);
     HeartbeatOutcome applyToRival(const TargetHeartbeat &heartbeat, TimePoint now);
     TargetHeartbeat *findEnded(const TargetHeartbeat &heartbeat);
-    void setCurrent(TargetHeartbeat reported);
+    void setCurrent(TargetHeartbeat reported, Evidence evidence);
     bool takeWithdrawal(const std::string &id);
     bool showsRestart(const TargetProbe &probe, TimePoint sentAt) const;
 
@@ -111,7 +117,9 @@
     std::optional<Rival> m_rival;
     std::deque<TargetHeartbeat> m_ended; // starts that were replaced, as last reported; the newest is the last
     std::deque<std::string> m_withdrawn; // ids that are leaving, but were not those of a known target
-    bool m_leavingUnconfirmed = false; // whether only a rival with the same id or an earlier withdrawal told it
+    // Further heartbeats after which the target no longer counts as leaving, because only a rival with the same id or
+    // an earlier withdrawal told that it is; 0 if it remains so.
+    int m_heartbeatsToLift = 0;
     std::uint64_t m_instances = 0;
     // When the current instance stated that it is leaving; none if it has announced that, or if its start time is
     // known, by which heartbeats tell a new instance.
--- a/src/membership/targettracker.cpp
+++ b/src/membership/targettracker.cpp
@@ -50,7 +50,7 @@
     if (!isNewStart) {
         return applyToRival(heartbeat, now);
     }
-    setCurrent(heartbeat);
+    setCurrent(heartbeat, Evidence::Heartbeat);
     m_heartbeats += m_instances == 1 ? 1 : 0;
     return HeartbeatOutcome::Applied;
 }
@@ -64,12 +64,13 @@
         known.leaving = known.leaving || heartbeat.leaving;
         return news ? HeartbeatOutcome::Applied : HeartbeatOutcome::Outdated;
     }
-    const bool wasLeaving = known.leaving && !m_leavingUnconfirmed;
+    const bool isLifted = m_heartbeatsToLift == 1;
+    const bool wasLeaving = known.leaving && !isLifted;
     const std::uint64_t startedAtMs = heartbeat.startedAtMs != 0 ? heartbeat.startedAtMs : known.startedAtMs;
     known = heartbeat;
     known.startedAtMs = startedAtMs;
     known.leaving = heartbeat.leaving || wasLeaving;
-    m_leavingUnconfirmed = false;
+    m_heartbeatsToLift = heartbeat.leaving || m_heartbeatsToLift == 0 ? 0 : m_heartbeatsToLift - 1;
     m_rival.reset();
     m_heartbeats += m_current->start == 1 ? 1 : 0;
     if (heartbeat.leaving) {
@@ -90,13 +91,13 @@
     }
     m_rival->reported.leaving = leaving;
     if (known && !late && now - m_rival->firstHeartbeatAt >= RivalConfirmationTime) {
-        setCurrent(m_rival->reported);
+        setCurrent(m_rival->reported, Evidence::Heartbeat);
         return HeartbeatOutcome::Applied;
     }
     TargetHeartbeat &current = m_current->reported;
     if (leaving && current.id == heartbeat.id && !current.leaving) {
         current.leaving = true;
-        m_leavingUnconfirmed = true;
+        m_heartbeatsToLift = 1;
     }
     return HeartbeatOutcome::Pending;
 }
@@ -109,7 +110,7 @@
     return it == m_ended.rend() ? nullptr : &*it;
 }
 
-void TargetTracker::setCurrent(TargetHeartbeat reported)
+void TargetTracker::setCurrent(TargetHeartbeat reported, Evidence evidence)
 {
     if (m_current) {
         m_ended.push_back(std::move(m_current->reported));
@@ -118,7 +119,9 @@
         }
     }
     const bool withdrawn = takeWithdrawal(reported.id);
-    m_leavingUnconfirmed = withdrawn && !reported.leaving;
+    // A heartbeat may have been sent before the withdrawal, so one alone does not lift it.
+    const int missing = evidence == Evidence::Heartbeat ? 1 : 2;
+    m_heartbeatsToLift = withdrawn && !reported.leaving ? missing : 0;
     reported.leaving = reported.leaving || withdrawn;
     m_rival.reset();
     m_leavingStatedAt.reset();
@@ -145,7 +148,7 @@
         return false;
     }
     m_current->reported.leaving = true;
-    m_leavingUnconfirmed = false;
+    m_heartbeatsToLift = 0;
     m_leavingStatedAt.reset();
     return true;
 }
@@ -185,7 +188,7 @@
         }
         reported.service = service;
         reported.address = address;
-        setCurrent(std::move(reported));
+        setCurrent(std::move(reported), Evidence::Probe);
     } else if (m_rival && m_rival->reported.id != probe.id && m_rival->firstHeartbeatAt < sentAt) {
         m_rival.reset();
     }
--- a/tests/unit/targettrackertest.cpp
+++ b/tests/unit/targettrackertest.cpp
@@ -277,6 +277,8 @@
     REQUIRE(tracker.current()->reported.leaving);
     tracker.applyHeartbeat(heartbeatOf("a", 5000, 7), at(2s));
     CHECK(tracker.current()->reported.leaving);
+    tracker.applyHeartbeat(heartbeatOf("a", 5000, 8), at(3500ms));
+    CHECK_FALSE(tracker.current()->reported.leaving);
 }
 
 TEST_CASE("A late heartbeat that says that the target is leaving takes effect")
