--- a/tests/soak/fidelity.py
+++ b/tests/soak/fidelity.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Compares each request that a target gets, byte for byte, with what a client sent, while others interfere.
 
-Usage: tests/soak/fidelity.py [--seed N] [--seeds COUNT] [--seconds S] [--binary PATH] [--keep FOLDER]
+Usage: tests/soak/fidelity.py [--seed N] [--seeds COUNT] [--seconds S] [--net N] [--binary PATH] [--keep FOLDER]
 
 The program runs as separate processes with stand-in targets, as in soak.py. Clients send proper but unusual requests: odd
 methods and paths, repeated fields, bodies by length and by chunks that are cut or sent slowly, pipelined requests, and their
@@ -14,14 +14,10 @@
 began; a target runs only requests of routes to its service; nothing but requests arrives on a connection. After the faults
 every node serves requests again. The exit status is 1 if a check failed for a seed; the logs of such seeds are kept.
 """
-import argparse
 import asyncio
-import os
 import random
-import shutil
 import signal
 import sys
-import tempfile
 import time
 
 import soak
@@ -257,7 +253,7 @@
         for _ in range(20):
             instance = rng.choice(["x-other", target.id, self.random.choice(self.targets).id])
             changes = rng.choice([{"service": "x%06x" % rng.getrandbits(24)}, {"service": other}, {"service": ""}, {"service": None},
-                                  {"service": 7}, {"service": None, "address": None}, {"address": "127.0.11.9:7404"},
+                                  {"service": 7}, {"service": None, "address": None}, {"address": "127.200.11.9:7404"},
                                   {"zone": None}, {"version": None}, {"zone": 7}, {"version": {}}, {"zone": "elsewhere"}])
             await target.send_entry(instance, {**later, **changes})
 
@@ -359,44 +355,11 @@
         await self.check_recovery()
 
 
-async def run_seed(seed, args, folder):
-    """Runs one seed and returns its Fidelity object."""
-    run = Fidelity(seed, args.seconds, args.binary, folder)
-    try:
-        await run.run()
-    finally:
-        await run.end()
-    return run
-
-
 def main():
-    """Runs the seeds sequentially and returns the exit status."""
-    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=8)
-    parser.add_argument("--binary", default="build/shallotrelay")
-    parser.add_argument("--keep", default="build/fidelity")
-    args = parser.parse_args()
-    failed = 0
-    for seed in range(args.seed, args.seed + args.seeds):
-        folder = tempfile.mkdtemp(prefix="fidelity-")
-        run = asyncio.run(run_seed(seed, args, folder))
-        print("seed %d: %d sent, %d served, %d run, %d faults, %s" % (
-            seed, len(run.sent), run.served, run.executions, len(run.faults), "broken" if run.violations else "good"))
-        if run.violations:
-            failed += 1
-            counts = {it: run.violations.count(it) for it in set(run.violations)}
-            for text, n in sorted(counts.items(), key=lambda it: -it[1])[:10]:
-                print("  %d times: %s" % (n, text))
-            print("  faults: " + "; ".join(run.faults))
-            kept = os.path.join(args.keep, "seed-%d" % seed)
-            shutil.rmtree(kept, ignore_errors=True)
-            shutil.copytree(folder, kept)
-            print("  logs: " + kept)
-        shutil.rmtree(folder)
-    print("%d passed, %d failed" % (args.seeds - failed, failed))
-    return 1 if failed else 0
+    return soak.run_seeds(
+        __doc__, "fidelity", lambda seed, args, folder: Fidelity(seed, args.seconds, args.binary, folder),
+        lambda run: "%d sent, %d served, %d run, %d faults" % (
+            len(run.sent), run.served, run.executions, len(run.faults)), [("--seconds", 8.0)])
 
 
 if __name__ == "__main__":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Runs the program as separate processes on loopback under injected faults and checks its guarantees.
 
-Usage: tests/soak/soak.py [--seed N] [--seeds COUNT] [--seconds S] [--binary PATH] [--keep FOLDER]
+Usage: tests/soak/soak.py [--seed N] [--seeds COUNT] [--seconds S] [--net N] [--binary PATH] [--keep FOLDER]
 
 A run starts control processes and nodes, with stand-in targets behind a loopback proxy, and sends requests and
 configuration changes throughout. The faults are drawn from the seed: processes are killed, paused, or terminated and
@@ -558,38 +558,45 @@
                 await process.wait()
 
 
-async def run_seed(seed, args, folder):
-    """Runs one seed and returns its Soak object."""
-    soak = Soak(seed, args.seconds, args.binary, folder)
+async def run_seed(run):
+    """Runs one seed to its end, also if that fails, and returns its state."""
     try:
-        await soak.run()
+        await run.run()
     finally:
-        await soak.end()
-    return soak
+        await run.end()
+    return run
 
 
-def main():
-    """Runs the seeds sequentially and returns the exit status."""
-    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+def run_seeds(description, name, create, describe, options=()):
+    """Parses the arguments, runs the seeds sequentially and returns the exit status.
+
+    create(seed, args, folder) returns the state of a run, describe(run) a summary of it; options are further arguments, as
+    pairs of a name and a default. The logs of broken seeds are kept under the name.
+    """
+    global CONTROLS, NODES
+    parser = argparse.ArgumentParser(description=description.split("\n")[0])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--net", type=int, default=0, help="second octet of the loopback addresses, for concurrent runs")
     parser.add_argument("--binary", default="build/shallotrelay")
     parser.add_argument("--keep", default="build/soak")
+    for option, default in options:
+        parser.add_argument(option, type=type(default), default=default)
     args = parser.parse_args()
+    CONTROLS = ["127.%d.10.%d" % (args.net, i) for i in range(1, 4)]
+    NODES = ["127.%d.11.%d" % (args.net, i) for i in range(1, 5)]
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        folder = tempfile.mkdtemp(prefix="soak-")
-        soak = asyncio.run(run_seed(seed, args, folder))
-        print("seed %d: %d asked, %d served, %d faults, version %d, %s" % (
-            seed, soak.request_count, soak.served, len(soak.faults), soak.acknowledged,
-            "broken" if soak.violations else "good"))
-        if soak.violations:
+        folder = tempfile.mkdtemp(prefix=name + "-")
+        run = asyncio.run(run_seed(create(seed, args, folder)))
+        print("seed %d: %s, %s" % (seed, describe(run), "broken" if run.violations else "good"))
+        if run.violations:
             failed += 1
-            for it in sorted(set(soak.violations))[:10]:
-                print("  " + it)
-            print("  faults: " + "; ".join(soak.faults))
-            kept = os.path.join(args.keep, "seed-%d" % seed)
+            counts = {it: run.violations.count(it) for it in set(run.violations)}
+            for text, n in sorted(counts.items(), key=lambda it: -it[1])[:10]:
+                print("  %s%s" % (text, " (%d times)" % n if n > 1 else ""))
+            print("  faults: " + "; ".join(run.faults))
+            kept = os.path.join(args.keep, "%s-%d" % (name, seed))
             shutil.rmtree(kept, ignore_errors=True)
             shutil.copytree(folder, kept)
             print("  logs: " + kept)
@@ -598,5 +605,12 @@
     return 1 if failed else 0
 
 
+def main():
+    return run_seeds(
+        __doc__, "seed", lambda seed, args, folder: Soak(seed, args.seconds, args.binary, folder),
+        lambda run: "%d asked, %d served, %d faults, version %d" % (
+            run.request_count, run.served, len(run.faults), run.acknowledged), [("--seconds", 8.0)])
+
+
 if __name__ == "__main__":
     sys.exit(main())
