Soak: targets also make calls; the recovery is judged under more load than one target takes

Traced in the route lines: the script asked one request at a time, about 15 a second, and all nodes sent each of 340 requests to the same of two idle targets, both candidates ("first", candidates 2).

--- a/tests/soak/fidelity.py
+++ b/tests/soak/fidelity.py
@@ -5,7 +5,7 @@
 
 The program runs as separate processes with stand-in targets, as in soak.py. Clients send proper but unusual requests: odd
 methods and paths, repeated fields, bodies by length and by chunks that are cut or sent slowly, pipelined requests, and their
-own statement of the caller service in many forms. Meanwhile, drawn from the seed, other writers send heartbeats to nodes, a
+own statement of the caller service in many forms, and targets make calls of their own. Meanwhile, drawn from the seed, other writers send heartbeats to nodes, a
 target of another service comes up at the address of a target, targets restart or respond before they have read the body,
 connections to targets are reset, strangers write to the port of nodes for other processes, and nodes are killed or paused.
 
@@ -30,6 +30,8 @@
 PATHS = ["x", "a//b", "./x", "../x", "%2f%00", "a;b=c", "x?", "x??a=b", "x?a=b&a=%20", "~!$&'()*+,=:@", "\x80\xfe", "?", ""]
 FORGED = ["Shallotrelay-Caller-Service", "shallotrelay-caller-service", "SHALLOTRELAY-CALLER-SERVICE"]
 REUSE_S = 2.0  # Time after the end of a target from which on its address may be used again.
+CALL_SHARE = 0.05  # Share of the requests during which their target makes a call.
+BURST = 4  # Requests at once for each node and service during the recovery.
 MIN_SERVED = 0.3  # Share of the requests that must be served although others interfere.
 
 
@@ -92,9 +94,24 @@
             writer.write(self.response(421, b"", request, not_executed=True))
         elif not early:
             await asyncio.sleep(0.002 + 0.01 * random.random())
+            if request[0].isdigit() and random.random() < CALL_SHARE:
+                await self.call(request)
             writer.write(self.response(200, request.encode(), request, method == "HEAD"))
         await writer.drain()
 
+    async def call(self, parent):
+        """Sends a request of this target through its own node while it runs one of a client."""
+        service = random.randrange(2)
+        path, request = "/s%d/get%d/call" % (service, service), "call-" + parent
+        origin = soak.NODES.index(self.host)
+        self.soak.sent[request] = Sent(origin, "GET", path, [("host", "soak.example")], b"", True)
+        fields = {"Shallotrelay-Request-Id": request, "Shallotrelay-Deadline-Ms": "500"}
+        try:
+            await soak.call(self.host, soak.FRONTEND, "GET", path, fields=fields)
+            self.soak.calls += 1
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            pass
+
     def response(self, status, body, request, head=False, not_executed=False):
         out = super().response(status, body, request, not_executed)
         return out[:len(out) - len(body)] if head else out
@@ -147,6 +164,7 @@
         self.sent = {}
         self.origins = set()
         self.executions = 0
+        self.calls = 0  # of targets that were answered
 
     def violate(self, text):
         self.violations.append(text)
@@ -313,30 +331,34 @@
         self.faulted.discard(i)
 
     async def check_recovery(self):
-        """Waits until each target gets requests again, from each node."""
+        """Waits until each target gets requests again, and requests that begin at each node run."""
         self.origins.clear()
         end = time.monotonic() + soak.RECOVERY_S
         missing = set(range(len(soak.NODES)))
         while missing and time.monotonic() < end:
-            for i, host in enumerate(soak.NODES):
-                for service in range(2):
-                    self.request_count += 1
-                    request, path = "end-%d" % self.request_count, "/s%d/get%d/x" % (service, service)
-                    self.sent[request] = Sent(i, "GET", path, [("host", "soak.example")], b"", True)
-                    fields = {"Shallotrelay-Request-Id": request, "Shallotrelay-Deadline-Ms": "1000"}
-                    try:
-                        await soak.call(host, soak.FRONTEND, "GET", path, fields=fields)
-                    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-                        pass
+            # More at once than half of the targets take, since an idle service may use one target alone.
+            await asyncio.gather(*[self.send_simple_request(i, service) for i in range(len(soak.NODES))
+                                   for service in range(2) for _ in range(BURST)])
             reached = {it[1] for it in self.origins}
             began = {it[0] for it in self.origins}
             missing = {i for i, host in enumerate(soak.NODES) if host not in reached or i not in began}
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.1)
         if missing:
             self.violate("nodes that serve nothing, or whose targets get nothing, after the faults: %s" % missing)
         if self.served < MIN_SERVED * len(self.sent):
             self.violate("only %d of %d requests were served" % (self.served, len(self.sent)))
 
+    async def send_simple_request(self, origin, service):
+        self.request_count += 1
+        request, path = "end-%d" % self.request_count, "/s%d/get%d/x" % (service, service)
+        self.sent[request] = Sent(origin, "GET", path, [("host", "soak.example")], b"", True)
+        fields = {"Shallotrelay-Request-Id": request, "Shallotrelay-Deadline-Ms": "1000"}
+        try:
+            status, _, _ = await soak.call(soak.NODES[origin], soak.FRONTEND, "GET", path, fields=fields)
+            self.served += status == 200
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            pass
+
     async def run(self):
         self.proxies = [soak.Proxy(it) for it in soak.NODES]
         self.targets = [CheckingTarget(self, it, soak.service_of(i), soak.ZONES[i % 2]) for i, it in enumerate(soak.NODES)]
@@ -358,8 +380,8 @@
 def main():
     return soak.run_seeds(
         __doc__, "fidelity", lambda seed, args, folder: Fidelity(seed, args.seconds, args.binary, folder),
-        lambda run: "%d sent, %d served, %d run, %d faults" % (
-            len(run.sent), run.served, run.executions, len(run.faults)), [("--seconds", 8.0)])
+        lambda run: "%d sent, %d served, %d run, %d calls of targets, %d faults" % (
+            len(run.sent), run.served, run.executions, run.calls, len(run.faults)), [("--seconds", 8.0)])
 
 
 if __name__ == "__main__":
