--- a/tests/process/clusternodetest.cpp
+++ b/tests/process/clusternodetest.cpp
@@ -94,6 +94,17 @@
     CHECK(harness.target.runsAfter(since).empty());
 }
 
+TEST_CASE("Node that starts beside a target of another service sends it nothing")
+{
+    const SystemClock clock;
+    ClusterNodeHarness harness;
+    harness.target.setState("i-9", true);
+    const TimePoint since = clock.now();
+    harness.restartNode();
+    harness.sendRequests(1500ms);
+    CHECK(harness.target.runsAfter(since).empty());
+}
+
 // Guards against an acknowledged "draining" of a target whose clock was set back before its restart.
 TEST_CASE("Node sends nothing to a draining target that restarted under its ID with an earlier start time")
 {
