--- a/review/trials-2/cluster.py
+++ b/review/trials-2/cluster.py
@@ -114,6 +114,12 @@
         self.running = 0
         self.state = "ready"
         self.answer = None
+        self.writers = set()
+
+    def abort(self):
+        """Ends all connections, as the end of the worker's process does."""
+        for it in list(self.writers):
+            it.transport.abort()
 
     async def start(self):
         server = await asyncio.start_server(self.serve, self.host, TARGET, limit=1 << 20)
@@ -140,6 +146,7 @@
         return (out + more + "\r\n").encode()
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 line, fields = await read_head(reader)
@@ -150,6 +157,7 @@
                 await self.serve_request(line, fields, reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
+        self.writers.discard(writer)
         writer.close()
 
     async def serve_request(self, line, fields, reader, writer):
@@ -180,7 +188,8 @@
 class Cluster:
     """Control processes, nodes and workers. services lists (service, zone) of each worker."""
 
-    def __init__(self, folder, services, controls=3, grace="6s", link_mbps=1000.0, extra_node=(), connections=1060, slots=12):
+    def __init__(self, folder, services, controls=3, grace="6s", link_mbps=1000.0, fail_closed="", revoke="", quota_slack="",
+                 connections=1060, slots=12):
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = free_net()
@@ -188,7 +197,8 @@
         self.nodes = ["%s.11.%d" % (self.net, i + 1) for i in range(len(services))]
         self.workers = [Worker(self, host, *it, slots=slots) for host, it in zip(self.nodes, services)]
         self.services = services
-        self.grace, self.link_mbps, self.extra_node, self.connections = grace, link_mbps, list(extra_node), connections
+        self.grace, self.link_mbps, self.connections = grace, link_mbps, connections
+        self.fail_closed, self.revoke, self.quota_slack = fail_closed, revoke, quota_slack
         self.processes, self.servers, self.tasks = {}, [], []
         self.runs = {}
         self.version = 0
@@ -205,14 +215,16 @@
             first = "false" if os.path.exists(data) else "true"
             return [PROGRAM, "platform-control", "--name", name, "--listen", "%s:%d" % (host, PEER),
                     "--operator-listen", "%s:%d" % (host, OPERATOR), "--metrics-listen", "%s:%d" % (host, METRICS),
-                    "--control", seeds, "--first-start", first, "--data-folder", data, "--trust", "unsigned"]
+                    "--control", seeds, "--first-start", first, "--data-folder", data, "--trust", "unsigned",
+                    "--canary-share=", "--canary-slack=", "--rollback-time=", "--quota-slack=" + self.quota_slack]
         service, zone = self.services[self.nodes.index(host)]
         return [PROGRAM, "platform-node", "--name", name, "--data-centre", zone, "--service", service,
                 "--target", "%s:%d" % (host, TARGET), "--listen", "%s:%d" % (host, FRONTEND),
                 "--ready-listen", "%s:%d" % (host, READY), "--announce-listen", "%s:%d" % (host, OPERATOR),
                 "--peer-listen", "%s:%d" % (host, PEER), "--metrics-listen", "%s:%d" % (host, METRICS),
                 "--control", seeds, "--grace", self.grace, "--retry-ratio", "0.2", "--retry-slack", "60",
-                "--cold-factor", "1.5", "--probes-per-second", "60", "--link-mbps=%s" % self.link_mbps] + self.extra_node
+                "--cold-factor", "1.5", "--probes-per-second", "60", "--fail-closed=" + self.fail_closed,
+                "--revoke-time=" + self.revoke, "--link-mbps=%s" % self.link_mbps]
 
     async def launch(self, host):
         log = open(os.path.join(self.folder, host + ".log"), "ab")
