--- a/review/trials-2/cluster.py
+++ b/review/trials-2/cluster.py
@@ -121,10 +121,17 @@
         for it in list(self.writers):
             it.transport.abort()
 
+    async def stop(self):
+        """Ends the worker's server, connections and heartbeats, as a crash does."""
+        self.server.close()
+        self.beats.cancel()
+        self.abort()
+
     async def start(self):
-        server = await asyncio.start_server(self.serve, self.host, TARGET, limit=1 << 20)
-        self.cluster.servers.append(server)
-        self.cluster.tasks.append(asyncio.create_task(self.beat()))
+        self.server = await asyncio.start_server(self.serve, self.host, TARGET, limit=1 << 20)
+        self.beats = asyncio.create_task(self.beat())
+        self.cluster.servers.append(self.server)
+        self.cluster.tasks.append(self.beats)
 
     async def beat(self):
         while True:
@@ -136,7 +143,7 @@
                 await call(self.host, OPERATOR, "PUT", "/instances/" + self.id, json.dumps(body).encode(), timeout=1)
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
                 pass
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(self.cluster.beat)
 
     def head(self, status, length, request, more=""):
         out = "HTTP/1.1 %d X\r\nContent-Length: %d\r\nShallotrelay-Instance-Id: %s\r\n" % (status, length, self.id)
@@ -189,7 +196,8 @@
     """Control processes, nodes and workers. services lists (service, zone) of each worker."""
 
     def __init__(self, folder, services, controls=3, grace="6s", link_mbps=1000.0, fail_closed="", revoke="", quota_slack="",
-                 connections=1060, slots=12):
+                 connections=1060, slots=12, beat=1.0):
+        self.beat = beat
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = free_net()
